--- /dev/null
+++ b/src/core/clock.h
@@ -0,0 +1,32 @@
+// Module time: Unix microseconds, taken once at the start, and carried on by the steady clock from there. A
+// step of the system's clock can so neither turn it back nor make timers fire early.
+#pragma once
+
+#include <chrono>
+
+#include "valehall/control.h"
+
+namespace shaletray {
+
+using valehall::Duration;
+using valehall::TimePoint;
+
+class Clock {
+public:
+    virtual ~Clock() = default;
+    virtual TimePoint now() const = 0;
+};
+
+class SystemClock : public Clock {
+public:
+    TimePoint now() const override {
+        return TimePoint(base_) + std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - start_);
+    }
+
+private:
+    std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
+    Duration base_ =
+        std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
+};
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/core/counters.h
@@ -0,0 +1,28 @@
+// What the gateway took in, sent and answered since its start.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace shaletray {
+
+struct Counters {
+    using Count = std::uint64_t;
+
+    Count taken = 0, gone = 0, overdue = 0, turned_away = 0;    // requests
+    Count sent = 0;
+    std::array<Count, 8> outcomes{};    // by valehall::Outcome
+    Count cancelled = 0, probes = 0, probes_failed = 0;
+    std::map<int, Count> answered;    // by the front's status
+    Count peer_sent = 0, peer_send_failed = 0, peer_taken = 0, peer_dropped = 0;
+    Count clients_accepted = 0, clients_open = 0, clients_rejected = 0;
+    Count servers_dialled = 0, servers_dial_failed = 0, servers_reused = 0, servers_open = 0;
+    Count lists_full = 0, lists_changed = 0, watches = 0, bad_lines = 0, bad_answers = 0;
+
+    // One line a subject.
+    std::string text() const;
+};
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/core/engine.cpp
@@ -0,0 +1,259 @@
+#include "core/engine.h"
+
+#include <algorithm>
+#include <exception>
+#include <utility>
+
+#include "core/log.h"
+
+namespace shaletray {
+namespace {
+
+using namespace std::chrono_literals;
+
+// The module answers by the deadline; this much later the engine does, whatever went wrong.
+constexpr Duration kOverdue = 4ms;
+
+}    // namespace
+
+Engine::Engine(const valehall::Settings& settings, std::uint64_t seed, const Clock& clock, Timers& timers,
+               Counters& counters)
+    : module_(settings, seed),
+      most_open_(static_cast<std::size_t>(std::max(1, settings.max_open))),
+      most_attempts_(static_cast<std::size_t>(std::max(0, settings.send_cap))),
+      clock_(clock),
+      timers_(timers),
+      counters_(counters) {}
+
+void Engine::connect(Backend& backend, Mail& mail, ListSource& lists) {
+    backend_ = &backend;
+    mail_ = &mail;
+    lists_ = &lists;
+}
+
+Engine::Request* Engine::find(RequestId id) {
+    const auto it = requests_.find(id);
+    return it == requests_.end() ? nullptr : &it->second;
+}
+
+Engine::Attempt* Engine::find_out(AttemptId id) {
+    Request* request = find(id.request);
+    if (request == nullptr || id.number < 0) return nullptr;
+    const auto at = static_cast<std::size_t>(id.number);
+    return at < request->attempts.size() && request->attempts[at].out ? &request->attempts[at] : nullptr;
+}
+
+// ---- what comes in ----
+
+RequestId Engine::take(Front& front, Arrival&& arrival) {
+    ++counters_.taken;
+    if (requests_.size() >= most_open_) {
+        ++counters_.turned_away;
+        front.refused(Duration(0));
+        return RequestId{};
+    }
+    RequestId id{++last_request_};
+    while (last_request_ == 0 || requests_.contains(id)) id = RequestId{++last_request_};    // went round
+    Request& request = requests_[id];
+    request.front = &front;
+    request.deadline = clock_.now() + arrival.budget;
+    request.overdue = timers_.at(request.deadline + kOverdue, [this, id] { give_up(id); });
+    valehall::RequestArrived ask;
+    ask.request = id;
+    ask.customer = arrival.customer;
+    ask.class_index = arrival.class_index;
+    ask.plan_index = arrival.plan_index;
+    ask.units = arrival.units;
+    ask.budget = arrival.budget;
+    ask.first_gateway = arrival.first_gateway;
+    ask.width = arrival.width;
+    request.arrival = std::move(arrival);
+    feed(ask);
+    return id;
+}
+
+void Engine::withdraw(RequestId id) {
+    if (drop(id) != nullptr) ++counters_.gone;
+}
+
+// Ends a request without the module's answer. Gives the front that is still owed one, if any.
+Front* Engine::drop(RequestId id) {
+    Request* request = find(id);
+    if (request == nullptr || request->front == nullptr) return nullptr;
+    Front* const front = close(*request);
+    feed(valehall::RequestAborted{id});
+    // What is still out serves nobody now.
+    for (std::size_t i = 0; (request = find(id)) != nullptr && i < request->attempts.size(); ++i) {
+        if (!request->attempts[i].out) continue;
+        const AttemptId attempt{id, static_cast<int>(i)};
+        backend_->cancel(attempt);
+        ++counters_.cancelled;
+        end(attempt, request->attempts[i], Outcome::Cancelled, {}, true);
+    }
+    forget_if_done(id);
+    return front;
+}
+
+// Only an answer that is a stream is told to the module, as the simulator does: its time-out and the client's
+// deadline end there. All other answers are passed on whole.
+void Engine::attempt_began(AttemptId id) {
+    Attempt* attempt = find_out(id);
+    if (attempt == nullptr || attempt->began) return;
+    Request& request = *find(id.request);
+    if (!request.arrival.streams) return;
+    attempt->began = true;
+    timers_.cancel(attempt->timeout);
+    timers_.cancel(request.overdue);
+    feed(valehall::AttemptStarted{id.request, id.number, attempt->host});
+}
+
+void Engine::attempt_ended(AttemptId id, Outcome outcome, LoadReport&& report, Payload&& answer) {
+    Attempt* attempt = find_out(id);
+    if (attempt == nullptr) return;
+    Request& request = *find(id.request);
+    // A good answer finishes the request by itself, and so does the break of a stream.
+    Front* const front = outcome == Outcome::Ok || attempt->began ? close(request) : nullptr;
+    if (front != nullptr) {
+        if (outcome == Outcome::Ok) front->served(std::move(answer));
+        else front->failed();
+    }
+    end(id, *attempt, outcome, std::move(report), request.front == nullptr);
+    forget_if_done(id.request);
+}
+
+void Engine::probe_ended(HostId host, Outcome outcome, Duration took, LoadReport&& report) {
+    if (outcome != Outcome::Ok) ++counters_.probes_failed;
+    feed(valehall::ProbeFinished{host, outcome, took, std::move(report)});
+}
+
+void Engine::list_heard(valehall::HostList&& list) { feed(std::move(list)); }
+
+void Engine::mail_heard(PeerId from, std::vector<std::uint8_t>&& bytes) {
+    feed(valehall::PeerBytes{from, std::move(bytes)});
+}
+
+// ---- the module ----
+
+void Engine::feed(valehall::Event&& event) {
+    events_.push_back(std::move(event));
+    if (feeding_) return;
+    feeding_ = true;
+    std::vector<valehall::Action> actions;
+    while (!events_.empty()) {
+        const valehall::Event next = std::move(events_.front());
+        events_.pop_front();
+        actions.clear();
+        try {
+            module_.handle(clock_.now(), next, actions);
+        } catch (const std::exception& error) {
+            // The request it was about is answered as overdue; all others go on.
+            static LogGate gate;
+            if (gate.open()) log(LogLevel::Error, "the decision module failed: {}", error.what());
+        }
+        for (const valehall::Action& action : actions) {
+            std::visit([this](const auto& a) { perform(a); }, action);
+        }
+    }
+    feeding_ = false;
+}
+
+void Engine::perform(const valehall::Send& action) {
+    Request* request = find(action.request);
+    const TimePoint now = clock_.now();
+    const bool moot = request == nullptr || request->front == nullptr || now >= request->deadline ||
+                      request->attempts.size() >= most_attempts_;
+    if (request == nullptr) {
+        ++counters_.outcomes[static_cast<std::size_t>(Outcome::NotSent)];
+        feed(valehall::AttemptFinished{action.request, 0, action.host, Outcome::NotSent, {}, 0.0, true, {}});
+        return;
+    }
+    const AttemptId id{action.request, static_cast<int>(request->attempts.size())};
+    request->attempts.push_back({action.host, now});
+    ++request->out;
+    Attempt& attempt = request->attempts.back();
+    if (moot) {
+        end(id, attempt, Outcome::NotSent, {}, request->front == nullptr);
+        forget_if_done(action.request);
+        return;
+    }
+    TimePoint until = request->deadline;
+    if (action.limit != Duration(0)) until = std::min(until, now + action.limit);
+    ++counters_.sent;
+    attempt.timeout = timers_.at(until, [this, id] { time_out(id); });
+    backend_->send(id, action.host, request->arrival.payload, until - now);
+}
+
+void Engine::perform(const valehall::CancelAttempt& action) {
+    const AttemptId id{action.request, action.attempt};
+    Attempt* attempt = find_out(id);
+    if (attempt == nullptr || attempt->began) return;
+    backend_->cancel(id);
+    ++counters_.cancelled;
+    end(id, *attempt, Outcome::Cancelled, {}, find(id.request)->front == nullptr);
+    forget_if_done(id.request);
+}
+
+void Engine::perform(const valehall::Refuse& action) {
+    Request* request = find(action.request);
+    if (request == nullptr) return;
+    if (Front* front = close(*request)) front->refused(action.retry_after);
+    forget_if_done(action.request);
+}
+
+void Engine::perform(const valehall::Fail& action) {
+    Request* request = find(action.request);
+    if (request == nullptr) return;
+    if (Front* front = close(*request)) front->failed();
+    forget_if_done(action.request);
+}
+
+void Engine::perform(const valehall::SetTimer& action) {
+    timers_.at(action.at, [this, token = action.token] { feed(valehall::TimerFired{token}); });
+}
+
+void Engine::perform(const valehall::Probe& action) {
+    ++counters_.probes;
+    backend_->probe(action.host);
+}
+
+void Engine::perform(const valehall::TellPeer& action) { mail_->tell(action.peer, action.bytes); }
+
+void Engine::perform(const valehall::Subscribe&) { lists_->subscribe(); }
+
+// ---- requests ----
+
+// The one place where a request stops being owed an answer. Gives the front that is to have it, if any.
+Front* Engine::close(Request& request) {
+    timers_.cancel(request.overdue);
+    return std::exchange(request.front, nullptr);
+}
+
+// The one place where an attempt ends: each is told to the module exactly once.
+void Engine::end(AttemptId id, Attempt& attempt, Outcome outcome, LoadReport&& report, bool final) {
+    timers_.cancel(attempt.timeout);
+    attempt.out = false;
+    --find(id.request)->out;
+    ++counters_.outcomes[static_cast<std::size_t>(outcome)];
+    feed(valehall::AttemptFinished{id.request, id.number, attempt.host, outcome, clock_.now() - attempt.sent,
+                                   0.0, final, std::move(report)});
+}
+
+void Engine::time_out(AttemptId id) {
+    Attempt* attempt = find_out(id);
+    if (attempt == nullptr) return;
+    backend_->cancel(id);
+    end(id, *attempt, Outcome::Timeout, {}, find(id.request)->front == nullptr);
+    forget_if_done(id.request);
+}
+
+void Engine::give_up(RequestId id) {
+    ++counters_.overdue;
+    if (Front* front = drop(id)) front->failed();
+}
+
+void Engine::forget_if_done(RequestId id) {
+    const Request* request = find(id);
+    if (request != nullptr && request->front == nullptr && request->out == 0) requests_.erase(id);
+}
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/core/engine.h
@@ -0,0 +1,149 @@
+// The engine: owns requests, attempts and timers, feeds the decision module and carries out what it decides.
+// It knows neither HTTP nor sockets nor this platform's names: a front hands requests in and takes answers out,
+// a backend carries attempts, mail carries peer messages.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/counters.h"
+#include "core/timers.h"
+#include "valehall/control.h"
+
+namespace shaletray {
+
+using valehall::HostId;
+using valehall::LoadReport;
+using valehall::Outcome;
+using valehall::PeerId;
+using valehall::RequestId;
+
+// A request or an answer as front and backend understand it. The engine passes it on and looks at no byte.
+struct Payload {
+    std::string head, body;
+};
+
+// A request as its front describes it.
+struct Arrival {
+    valehall::CustomerId customer{};
+    int class_index = 0, plan_index = 0;
+    double units = 1.0;
+    Duration budget{0};
+    int first_gateway = 0, width = 1;
+    bool streams = false;    // its answer begins long before it ends
+    Payload payload;
+};
+
+struct AttemptId {
+    RequestId request{};
+    int number = 0;
+};
+
+// Where a request came from. Exactly one of these is called for each request taken, unless it was withdrawn.
+class Front {
+public:
+    virtual ~Front() = default;
+    virtual void served(Payload&& answer) = 0;
+    virtual void refused(Duration retry_after) = 0;
+    virtual void failed() = 0;
+};
+
+// What carries attempts and probes. Each ends with one call of Engine::attempt_ended or probe_ended, which may
+// come before send or probe returns; none comes for an attempt that was called off.
+class Backend {
+public:
+    virtual ~Backend() = default;
+    virtual void send(AttemptId attempt, HostId host, const Payload& request, Duration left) = 0;
+    virtual void cancel(AttemptId attempt) = 0;
+    virtual void probe(HostId host) = 0;
+};
+
+class Mail {
+public:
+    virtual ~Mail() = default;
+    virtual void tell(PeerId to, const std::vector<std::uint8_t>& bytes) = 0;
+};
+
+// Where lists of servers come from; asked where the module has to.
+class ListSource {
+public:
+    virtual ~ListSource() = default;
+    virtual void subscribe() = 0;
+};
+
+class Engine {
+public:
+    Engine(const valehall::Settings& settings, std::uint64_t seed, const Clock& clock, Timers& timers,
+           Counters& counters);
+    Engine(const Engine&) = delete;
+    Engine& operator=(const Engine&) = delete;
+
+    void connect(Backend& backend, Mail& mail, ListSource& lists);
+
+    RequestId take(Front& front, Arrival&& arrival);
+    // The client left: no answer is wanted any more.
+    void withdraw(RequestId request);
+
+    void attempt_began(AttemptId attempt);    // its answer's first part is here
+    void attempt_ended(AttemptId attempt, Outcome outcome, LoadReport&& report = {}, Payload&& answer = {});
+    void probe_ended(HostId host, Outcome outcome, Duration took, LoadReport&& report = {});
+    void list_heard(valehall::HostList&& list);
+    void mail_heard(PeerId from, std::vector<std::uint8_t>&& bytes);
+
+    std::size_t open_requests() const { return requests_.size(); }
+
+private:
+    struct Attempt {
+        HostId host{};
+        TimePoint sent{};
+        Timers::Id timeout = 0;
+        bool out = true, began = false;
+    };
+    struct Request {
+        Front* front = nullptr;    // none: answered or withdrawn
+        Arrival arrival;
+        TimePoint deadline{};
+        Timers::Id overdue = 0;
+        std::vector<Attempt> attempts;
+        int out = 0;
+    };
+
+    Request* find(RequestId id);
+    Attempt* find_out(AttemptId id);
+    void feed(valehall::Event&& event);
+    void perform(const valehall::Send& action);
+    void perform(const valehall::CancelAttempt& action);
+    void perform(const valehall::Refuse& action);
+    void perform(const valehall::Fail& action);
+    void perform(const valehall::SetTimer& action);
+    void perform(const valehall::Probe& action);
+    void perform(const valehall::TellPeer& action);
+    void perform(const valehall::Subscribe& action);
+    Front* close(Request& request);
+    Front* drop(RequestId id);
+    void end(AttemptId id, Attempt& attempt, Outcome outcome, LoadReport&& report, bool final);
+    void time_out(AttemptId id);
+    void give_up(RequestId id);
+    void forget_if_done(RequestId id);
+
+    valehall::Gateway module_;
+    std::size_t most_open_;
+    std::size_t most_attempts_;
+    const Clock& clock_;
+    Timers& timers_;
+    Counters& counters_;
+    Backend* backend_ = nullptr;
+    Mail* mail_ = nullptr;
+    ListSource* lists_ = nullptr;
+    std::unordered_map<RequestId, Request> requests_;
+    std::uint32_t last_request_ = 0;
+    std::deque<valehall::Event> events_;    // an action's effects wait until all actions before them are done
+    bool feeding_ = false;
+};
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,71 @@
+// shaletray: reads the configuration, wires the parts, and minds signals.
+#include <Poco/Exception.h>
+#include <fmt/format.h>
+#include <sys/resource.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+
+#include "core/log.h"
+#include "net/service.h"
+
+namespace {
+
+std::atomic<bool> stop_wanted{false}, counters_wanted{false};
+
+void on_signal(int signal) {
+    if (signal == SIGUSR1) counters_wanted = true;
+    else stop_wanted = true;
+}
+
+void handle_signals() {
+    struct sigaction action {};
+    action.sa_handler = on_signal;
+    for (const int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaction(signal, &action, nullptr);
+    action.sa_handler = SIG_IGN;    // a write to a connection that has ended is answered by an error
+    sigaction(SIGPIPE, &action, nullptr);
+}
+
+// The budget in the configuration is worth nothing above what the system lets us open.
+void fit_descriptors(shaletray::Config& config) {
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
+        config.sockets = std::min<std::size_t>(config.sockets, limit.rlim_cur);
+}
+
+int run() {
+    if (const char* level = std::getenv("SHALETRAY_LOG");
+        level != nullptr && !shaletray::set_log_level(std::string_view(level))) {
+        throw shaletray::BadConfig("SHALETRAY_LOG must be error, warning, info or debug");
+    }
+    shaletray::Config config = shaletray::config_from_environment();
+    fit_descriptors(config);
+    const std::string name = config.name;
+    handle_signals();
+    shaletray::Service service(std::move(config));
+    const auto print = [&] { fmt::print(stderr, "{}", service.counters().text()); };
+    shaletray::log(shaletray::LogLevel::Info, "{} listens on {}", name, service.address());
+    service.run([&] {
+        if (counters_wanted.exchange(false)) print();
+        if (stop_wanted) service.stop();
+    });
+    print();
+    return EXIT_SUCCESS;
+}
+
+}    // namespace
+
+int main() {
+    try {
+        return run();
+    } catch (const Poco::Exception& error) {
+        shaletray::log(shaletray::LogLevel::Error, "{}", error.displayText());
+    } catch (const std::exception& error) {
+        shaletray::log(shaletray::LogLevel::Error, "{}", error.what());
+    }
+    return EXIT_FAILURE;
+}
--- /dev/null
+++ b/src/net/discovery_watch.cpp
@@ -0,0 +1,132 @@
+#include "net/discovery_watch.h"
+
+#include <algorithm>
+
+namespace shaletray {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kFirstBackoff = 50ms, kLongestBackoff = 1s;
+// An empty line comes every two seconds. Three without one: the connection may be gone without a word.
+constexpr Duration kSilence = 6500ms;
+constexpr std::size_t kLongestLine = 8 * 1024 * 1024;
+
+// A stream of a watch that was given up, until nothing of it is on the call stack.
+struct RetiredStream : Retired {
+    explicit RetiredStream(std::unique_ptr<Stream> s) : stream(std::move(s)) {}
+    std::unique_ptr<Stream> stream;
+};
+
+}    // namespace
+
+DiscoveryWatch::DiscoveryWatch(Engine& engine, HostDirectory& hosts, const Config& config, Counters& counters,
+                               Reactor& reactor, std::function<void()> heard)
+    : engine_(engine),
+      hosts_(hosts),
+      config_(config),
+      counters_(counters),
+      reactor_(reactor),
+      heard_(std::move(heard)),
+      parser_(http::Parser::Kind::Response, {16 * 1024, kLongestLine, 100}),
+      revision_(config.known.revision) {}
+
+DiscoveryWatch::~DiscoveryWatch() {
+    reactor_.cancel(retry_timer_);
+    reactor_.cancel(silence_timer_);
+}
+
+// From the list that the gateway had before its start, which may be old.
+void DiscoveryWatch::start() {
+    engine_.list_heard(hosts_.apply(config_.known, valehall::ListKind::Cached, reactor_.clock().now()));
+    heard_();
+    if (!config_.settings.ask_for_list) connect();
+}
+
+void DiscoveryWatch::connect() {
+    reactor_.cancel(retry_timer_);
+    if (stream_) {
+        stream_->close();
+        reactor_.retire(std::make_unique<RetiredStream>(std::move(stream_)));
+    }
+    ++counters_.watches;
+    parser_.reset();
+    scanned_ = 0;
+    stream_ = std::make_unique<Stream>(reactor_, static_cast<StreamOwner&>(*this));
+    last_heard_ = reactor_.clock().now();
+    reactor_.cancel(silence_timer_);
+    check_silence();
+    if (!stream_->dial(config_.discovery)) return broken("cannot connect");
+    stream_->send(write_watch(config_.discovery, revision_));
+}
+
+void DiscoveryWatch::read_now() {
+    if (stream_) stream_->read_now();
+}
+
+void DiscoveryWatch::on_input() {
+    last_heard_ = reactor_.clock().now();
+    const http::Status status = parser_.parse(stream_->input());
+    if (status == http::Status::Bad) return broken("malformed answer");
+    if (!parser_.head_done()) return;
+    if (parser_.status() != 200) return broken("refused");
+    take_lines();
+    if (status == http::Status::Done && stream_ && stream_->is_open()) broken("it ended");
+}
+
+void DiscoveryWatch::take_lines() {
+    while (true) {
+        const std::string_view body = parser_.body(stream_->input());
+        const std::size_t end = body.find('\n', scanned_);
+        if (end == std::string_view::npos) {
+            scanned_ = body.size();
+            return;
+        }
+        take(http::trimmed(body.substr(0, end > 0 && body[end - 1] == '\r' ? end - 1 : end)));
+        parser_.drop_body(stream_->input(), end + 1);
+        scanned_ = 0;
+    }
+}
+
+void DiscoveryWatch::take(std::string_view line) {
+    backoff_ = Duration(0);
+    if (line.empty()) return;
+    MemberList list;
+    std::string error;
+    if (!parse_member_list(line, config_.places, list, error)) {
+        ++counters_.bad_lines;
+        if (gate_.open()) log(LogLevel::Warning, "discovery sent a line that is no list: {}", error);
+        return;
+    }
+    if (list.skipped > 0) {
+        counters_.bad_lines += list.skipped;
+        if (gate_.open()) log(LogLevel::Warning, "discovery sent {} unreadable entries", list.skipped);
+    }
+    revision_ = list.revision;
+    const bool full = list.complete;
+    ++(full ? counters_.lists_full : counters_.lists_changed);
+    const auto kind = full ? valehall::ListKind::Full : valehall::ListKind::Delta;
+    engine_.list_heard(hosts_.apply(list, kind, reactor_.clock().now()));
+    heard_();
+}
+
+void DiscoveryWatch::broken(std::string_view why) {
+    if (gate_.open()) log(LogLevel::Info, "the watch of discovery broke: {}", why);
+    stream_->close();
+    reactor_.cancel(silence_timer_);
+    if (config_.settings.ask_for_list) {
+        engine_.list_heard({valehall::ListKind::Failed, {}});    // the module says when to ask again
+        return;
+    }
+    backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kLongestBackoff);
+    reactor_.cancel(retry_timer_);
+    retry_timer_ = reactor_.after(backoff_, [this] { connect(); });
+}
+
+void DiscoveryWatch::check_silence() {
+    const TimePoint due = last_heard_ + kSilence;
+    if (reactor_.clock().now() >= due) return broken("silence");
+    silence_timer_ = reactor_.at(due, [this] { check_silence(); });
+}
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/net/listener.cpp
@@ -0,0 +1,127 @@
+#include "net/listener.h"
+
+#include <Poco/NObserver.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
+namespace shaletray {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int kBacklog = 512;
+constexpr Duration kSweepEvery = 500ms;
+constexpr Duration kAcceptPause = 50ms;    // out of descriptors: the backlog waits
+
+}    // namespace
+
+Listener::Listener(Engine& engine, const Config& config, Counters& counters, Reactor& reactor,
+                   std::size_t most_clients, std::function<bool()> ready)
+    : context_{engine, config, counters, reactor, std::move(ready), {}, false}, most_clients_(most_clients) {
+    context_.closed = [this](ClientConnection& client) {
+        const auto it = clients_.find(&client);
+        if (it == clients_.end()) return;
+        context_.reactor.retire(std::move(it->second));
+        clients_.erase(it);
+        if (!accepting_ && pause_timer_ == 0) accept_on(true);
+    };
+    socket_.bind(Poco::Net::SocketAddress(config.listen), true);
+    socket_.listen(kBacklog);
+    socket_.setBlocking(false);
+    accept_on(true);
+    sweep_timer_ = reactor.after(kSweepEvery, [this] { sweep(); });
+}
+
+Listener::~Listener() {
+    open_ = false;
+    accept_on(false);
+    context_.reactor.cancel(sweep_timer_);
+    context_.reactor.cancel(pause_timer_);
+    clients_.clear();
+    context_.reactor.reap();    // closed connections refer to what they share here
+}
+
+void Listener::accept_on(bool wanted) {
+    if (accepting_ == wanted || (wanted && !open_)) return;
+    const Poco::NObserver<Listener, Poco::Net::ReadableNotification> observer(*this, &Listener::on_readable);
+    if (wanted) context_.reactor.addEventHandler(socket_, observer);
+    else context_.reactor.removeEventHandler(socket_, observer);
+    accepting_ = wanted;
+}
+
+void Listener::on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {
+    if (open_ && accepting_) accept();
+    context_.reactor.reckon_timeout();
+}
+
+// False where there was nothing more to accept.
+bool Listener::accept() {
+    if (clients_.size() >= most_clients_) make_room();
+    if (clients_.size() >= most_clients_) {
+        // The budget of descriptors is spent: clients wait in the backlog until one leaves.
+        ++context_.counters.clients_rejected;
+        accept_on(false);
+        return false;
+    }
+    try {
+        auto client = std::make_unique<ClientConnection>(context_, socket_.acceptConnection());
+        ClientConnection* const key = client.get();
+        clients_.emplace(key, std::move(client));
+        return true;
+    } catch (const Poco::TimeoutException&) {
+        return false;    // it left before it was accepted
+    } catch (const Poco::Exception& error) {
+        // Out of descriptors, above all: the listener stays readable, and trying on would spin.
+        if (gate_.open()) log(LogLevel::Warning, "cannot accept: {}", error.displayText());
+        make_room();
+        accept_on(false);
+        if (pause_timer_ == 0) {
+            pause_timer_ = context_.reactor.after(kAcceptPause, [this] {
+                pause_timer_ = 0;
+                accept_on(true);
+            });
+        }
+        return false;
+    }
+}
+
+// The client that has asked nothing for longest makes room for a new one.
+void Listener::make_room() {
+    ClientConnection* oldest = nullptr;
+    for (const auto& [key, client] : clients_) {
+        if (client->idle() && (oldest == nullptr || client->since() < oldest->since())) oldest = key;
+    }
+    if (oldest != nullptr) oldest->close_if_idle();
+}
+
+void Listener::sweep() {
+    std::vector<ClientConnection*> all;
+    for (const auto& [key, client] : clients_) all.push_back(key);
+    const TimePoint now = context_.reactor.clock().now();
+    for (ClientConnection* client : all) {
+        client->sweep(now);
+        if (!open_) client->close_if_idle();
+    }
+    sweep_timer_ = context_.reactor.after(open_ ? kSweepEvery : kSweepEvery / 10, [this] { sweep(); });
+}
+
+void Listener::begin_stop() {
+    context_.stopping = true;
+    std::vector<ClientConnection*> all;
+    for (const auto& [key, client] : clients_) all.push_back(key);
+    for (ClientConnection* client : all) client->close_if_idle();
+}
+
+void Listener::end_accepting() {
+    if (!open_) return;
+    // What waits in the backlog was accepted by the machine: closing over it would lose its requests.
+    while (accept()) {
+    }
+    accept_on(false);
+    open_ = false;
+    socket_.close();
+    context_.reactor.cancel(sweep_timer_);
+    sweep();
+}
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/net/listener.h
@@ -0,0 +1,48 @@
+// Accepts clients and owns their connections.
+#pragma once
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketNotification.h>
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "core/log.h"
+#include "net/client_connection.h"
+
+namespace shaletray {
+
+class Listener {
+public:
+    // Throws Poco::Exception where the address cannot be listened on.
+    Listener(Engine& engine, const Config& config, Counters& counters, Reactor& reactor,
+             std::size_t most_clients, std::function<bool()> ready);
+    ~Listener();
+    Listener(const Listener&) = delete;
+    Listener& operator=(const Listener&) = delete;
+
+    std::string address() const { return socket_.address().toString(); }
+    std::size_t clients() const { return clients_.size(); }
+    // Answers end their connections from now on, and idle ones are closed; new ones are still accepted.
+    void begin_stop();
+    // Takes what is still waiting to be accepted, and then nothing more.
+    void end_accepting();
+
+private:
+    void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>& event);
+    bool accept();
+    void accept_on(bool wanted);
+    void make_room();
+    void sweep();
+
+    ClientContext context_;
+    std::size_t most_clients_;
+    Poco::Net::ServerSocket socket_;
+    bool open_ = true, accepting_ = false;
+    Timers::Id sweep_timer_ = 0, pause_timer_ = 0;
+    LogGate gate_;
+    std::unordered_map<ClientConnection*, std::unique_ptr<ClientConnection>> clients_;
+};
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/net/peer_socket.h
@@ -0,0 +1,44 @@
+// Datagrams between gateways.
+#pragma once
+
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/SocketNotification.h>
+
+#include <map>
+#include <vector>
+
+#include "core/engine.h"
+#include "net/reactor.h"
+#include "platform/config.h"
+
+namespace shaletray {
+
+class PeerSocket : public Mail {
+public:
+    static constexpr std::size_t kLongest = 256;
+
+    // Throws Poco::Exception where an address is no good.
+    PeerSocket(Engine& engine, const Config& config, Counters& counters, Reactor& reactor);
+    ~PeerSocket() override;
+    PeerSocket(const PeerSocket&) = delete;
+    PeerSocket& operator=(const PeerSocket&) = delete;
+
+    void tell(PeerId to, const std::vector<std::uint8_t>& bytes) override;
+    std::string address() const { return open_ ? socket_.address().toString() : std::string(); }
+
+private:
+    void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>& event);
+
+    Engine& engine_;
+    Counters& counters_;
+    Reactor& reactor_;
+    Poco::Net::DatagramSocket socket_;
+    bool open_ = false;
+    std::vector<Poco::Net::SocketAddress> peers_;
+    std::map<Poco::Net::SocketAddress, PeerId> numbers_;    // without our own
+    Poco::Net::SocketAddress all_;
+    bool has_all_ = false;
+};
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/net/server_connection.h
@@ -0,0 +1,65 @@
+// One connection to a server. It carries one exchange at a time, and is kept for the next where the answer
+// allows that.
+#pragma once
+
+#include <string>
+
+#include "net/stream.h"
+#include "platform/messages.h"
+
+namespace shaletray {
+
+class ServerConnection;
+
+// Told by a connection; the pool decides what follows.
+class ServerConnectionOwner {
+public:
+    virtual ~ServerConnectionOwner() = default;
+    // Just dialled and about to carry the first byte: false where it must not go there any more.
+    virtual bool may_begin(const ServerConnection& connection) = 0;
+    virtual void answer_began(ServerConnection& connection) = 0;
+    // The exchange has ended, and by its outcome. With a whole answer, that is still in the connection's buffer.
+    virtual void exchange_ended(ServerConnection& connection, Outcome outcome, bool reusable) = 0;
+    virtual void idle_broken(ServerConnection& connection) = 0;
+};
+
+class ServerConnection : public Retired, private StreamOwner {
+public:
+    ServerConnection(Reactor& reactor, ServerConnectionOwner& owner, HostId host, std::string address)
+        : owner_(owner), host_(host), address_(std::move(address)), stream_(reactor, *this) {}
+
+    HostId host() const { return host_; }
+    const std::string& address() const { return address_; }
+    const http::Parser& parser() const { return parser_; }
+    const http::Buffer& input() const { return stream_.input(); }
+    bool dialling() const { return state_ == State::Dialling; }
+    // Fit for another exchange: nothing stray has come in, and it has not been ended.
+    bool fit() { return state_ == State::Idle && stream_.quiet(); }
+
+    // Dials first where it is new. May end the exchange at once.
+    void begin(std::string message);
+    // The answer has been looked at: ready for the next exchange.
+    void release();
+    void close();
+
+private:
+    enum class State { New, Dialling, Writing, Reading, Idle, Closed };
+
+    void on_connected() override;
+    void on_input() override;
+    void on_sent() override;
+    void on_broken() override;
+    void write();
+    void end(Outcome outcome, bool reusable);
+
+    ServerConnectionOwner& owner_;
+    HostId host_;
+    std::string address_;
+    Stream stream_;
+    std::string message_;
+    http::Parser parser_{http::Parser::Kind::Response};
+    State state_ = State::New;
+    bool began_ = false;
+};
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/net/server_pool.cpp
@@ -0,0 +1,195 @@
+#include "net/server_pool.h"
+
+#include <algorithm>
+
+namespace shaletray {
+namespace {
+
+constexpr Duration kSweepEvery = std::chrono::seconds(1);
+
+}    // namespace
+
+ServerPool::ServerPool(Engine& engine, const HostDirectory& hosts, Counters& counters, Reactor& reactor,
+                       Limits limits)
+    : engine_(engine), hosts_(hosts), counters_(counters), reactor_(reactor), limits_(limits) {
+    sweep_timer_ = reactor_.after(kSweepEvery, [this] { sweep(); });
+}
+
+ServerPool::~ServerPool() {
+    reactor_.cancel(sweep_timer_);
+    for (auto& [connection, entry] : connections_) reactor_.cancel(entry.limit);
+    connections_.clear();
+    reactor_.reap();
+}
+
+ServerPool::Entry* ServerPool::acquire(HostId host, Outcome& why_not) {
+    const HostDirectory::Host* const known = hosts_.find(host);
+    if (known == nullptr || !hosts_.may_begin(host, reactor_.clock().now())) {
+        why_not = Outcome::ConnectFailed;
+        return nullptr;
+    }
+    // The most recently used first: the others may then grow old and be closed.
+    std::vector<ServerConnection*>& idle = idle_[host];
+    while (!idle.empty()) {
+        ServerConnection* const connection = idle.back();
+        if (connection->fit() && connection->address() == known->address) {
+            idle.pop_back();
+            ++counters_.servers_reused;
+            return &connections_.at(connection);
+        }
+        drop(*connection);
+    }
+    if (connections_.size() >= limits_.connections) drop_oldest_idle();
+    if (connections_.size() >= limits_.connections) {
+        why_not = Outcome::NotSent;    // our own want of descriptors, which says nothing of the server
+        return nullptr;
+    }
+    ++counters_.servers_dialled;
+    ++counters_.servers_open;
+    ServerConnectionOwner& owner = *this;
+    auto connection = std::make_unique<ServerConnection>(reactor_, owner, host, known->address);
+    ServerConnection* const at = connection.get();
+    Entry& entry = connections_[at];
+    entry.connection = std::move(connection);
+    return &entry;
+}
+
+void ServerPool::send(AttemptId attempt, HostId host, const Payload& request, Duration left) {
+    Outcome why_not{};
+    Entry* const entry = acquire(host, why_not);
+    if (entry == nullptr) return report(attempt, host, why_not, {}, {}, {});
+    ServerConnection* const connection = entry->connection.get();
+    entry->attempt = attempt;
+    entry->since = reactor_.clock().now();
+    attempts_[key(attempt)] = connection;
+    connection->begin(write_request(request, left));
+    if (const auto it = connections_.find(connection); it != connections_.end() && connection->dialling()) {
+        it->second.limit = reactor_.after(limits_.dial, [this, connection] {
+            if (connection->dialling()) exchange_ended(*connection, Outcome::ConnectFailed, false);
+        });
+    }
+}
+
+void ServerPool::cancel(AttemptId attempt) {
+    const auto it = attempts_.find(key(attempt));
+    if (it != attempts_.end()) drop(*it->second);    // its server sees the connection end, and so the attempt
+}
+
+void ServerPool::probe(HostId host) {
+    Outcome why_not{};
+    Entry* const entry = acquire(host, why_not);
+    if (entry == nullptr) return report(std::nullopt, host, why_not, {}, {}, {});
+    ServerConnection* const connection = entry->connection.get();
+    entry->probing = true;
+    entry->since = reactor_.clock().now();
+    entry->limit = reactor_.after(limits_.dial, [this, connection] {
+        const Outcome outcome = connection->dialling() ? Outcome::ConnectFailed : Outcome::Timeout;
+        exchange_ended(*connection, outcome, false);
+    });
+    connection->begin(write_probe(connection->address()));
+}
+
+bool ServerPool::may_begin(const ServerConnection& connection) {
+    return hosts_.may_begin(connection.host(), reactor_.clock().now());
+}
+
+void ServerPool::answer_began(ServerConnection& connection) {
+    const auto it = connections_.find(&connection);
+    if (it != connections_.end() && it->second.attempt) engine_.attempt_began(*it->second.attempt);
+}
+
+// The one place where an exchange ends by itself; cancel() is the other end that there is.
+void ServerPool::exchange_ended(ServerConnection& connection, Outcome outcome, bool reusable) {
+    const auto it = connections_.find(&connection);
+    if (it == connections_.end()) return;
+    Entry& entry = it->second;
+    const bool whole = outcome == Outcome::Ok || outcome == Outcome::Error || outcome == Outcome::Full;
+    LoadReport load;
+    Payload answer;
+    if (whole) {
+        load = report_of(connection.parser(), connection.input());
+        if (outcome == Outcome::Ok && entry.attempt) answer = answer_of(connection.parser(), connection.input());
+    } else if (outcome == Outcome::ConnectFailed) {
+        ++counters_.servers_dial_failed;
+    } else if (connection.parser().fault() != http::Fault::None) {
+        ++counters_.bad_answers;
+        if (gate_.open()) log(LogLevel::Warning, "server {} answered what is no HTTP", connection.address());
+    }
+    const std::optional<AttemptId> attempt = entry.attempt;
+    const HostId host = connection.host();
+    const TimePoint now = reactor_.clock().now();
+    const Duration took = now - entry.since;
+    if (reusable) {
+        connection.release();
+        if (attempt) attempts_.erase(key(*attempt));
+        reactor_.cancel(entry.limit);
+        entry.attempt.reset();
+        entry.probing = false;
+        entry.since = now;
+        idle_[host].push_back(&connection);
+    } else {
+        drop(connection);
+    }
+    report(attempt, host, outcome, took, std::move(load), std::move(answer));
+}
+
+void ServerPool::report(const std::optional<AttemptId>& attempt, HostId host, Outcome outcome, Duration took,
+                        LoadReport&& load, Payload&& answer) {
+    if (attempt) engine_.attempt_ended(*attempt, outcome, std::move(load), std::move(answer));
+    else engine_.probe_ended(host, outcome, took, std::move(load));
+}
+
+void ServerPool::idle_broken(ServerConnection& connection) { drop(connection); }
+
+// The one place where a connection is given back, whatever it was doing.
+void ServerPool::drop(ServerConnection& connection) {
+    const auto it = connections_.find(&connection);
+    if (it == connections_.end()) return;
+    Entry& entry = it->second;
+    reactor_.cancel(entry.limit);
+    if (entry.attempt) attempts_.erase(key(*entry.attempt));
+    if (const auto idle = idle_.find(connection.host()); idle != idle_.end()) {
+        std::erase(idle->second, &connection);
+        if (idle->second.empty() && hosts_.find(connection.host()) == nullptr) idle_.erase(idle);
+    }
+    connection.close();
+    --counters_.servers_open;
+    reactor_.retire(std::move(entry.connection));
+    connections_.erase(it);
+}
+
+void ServerPool::drop_oldest_idle() {
+    ServerConnection* oldest = nullptr;
+    TimePoint since = TimePoint::max();
+    for (const auto& [host, idle] : idle_) {
+        if (idle.empty() || connections_.at(idle.front()).since >= since) continue;
+        oldest = idle.front();
+        since = connections_.at(oldest).since;
+    }
+    if (oldest != nullptr) drop(*oldest);
+}
+
+void ServerPool::list_changed() {
+    std::vector<ServerConnection*> stale;
+    for (const auto& [host, idle] : idle_) {
+        const HostDirectory::Host* const known = hosts_.find(host);
+        for (ServerConnection* connection : idle) {
+            if (known == nullptr || known->address != connection->address()) stale.push_back(connection);
+        }
+    }
+    for (ServerConnection* connection : stale) drop(*connection);
+}
+
+void ServerPool::sweep() {
+    std::vector<ServerConnection*> old;
+    const TimePoint now = reactor_.clock().now();
+    for (const auto& [host, idle] : idle_) {
+        for (ServerConnection* connection : idle) {
+            if (now - connections_.at(connection).since > limits_.idle) old.push_back(connection);
+        }
+    }
+    for (ServerConnection* connection : old) drop(*connection);
+    sweep_timer_ = reactor_.after(kSweepEvery, [this] { sweep(); });
+}
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/net/server_pool.h
@@ -0,0 +1,71 @@
+// Carries attempts and probes to servers, and owns the connections for that: busy, dialling or kept for reuse.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "core/engine.h"
+#include "core/log.h"
+#include "net/server_connection.h"
+#include "platform/member_list.h"
+
+namespace shaletray {
+
+class ServerPool : public Backend, private ServerConnectionOwner {
+public:
+    struct Limits {
+        std::size_t connections = 256;
+        Duration dial{0};
+        Duration idle{0};    // a connection kept for reuse is closed after this
+    };
+    ServerPool(Engine& engine, const HostDirectory& hosts, Counters& counters, Reactor& reactor, Limits limits);
+    ~ServerPool() override;
+    ServerPool(const ServerPool&) = delete;
+    ServerPool& operator=(const ServerPool&) = delete;
+
+    void send(AttemptId attempt, HostId host, const Payload& request, Duration left) override;
+    void cancel(AttemptId attempt) override;
+    void probe(HostId host) override;
+    // Drops what is kept for servers that have gone or moved.
+    void list_changed();
+
+private:
+    struct Entry {
+        std::unique_ptr<ServerConnection> connection;
+        std::optional<AttemptId> attempt;    // none: a probe, or kept for reuse
+        bool probing = false;
+        TimePoint since{};    // busy or idle
+        Timers::Id limit = 0;
+    };
+    static std::uint64_t key(AttemptId attempt) {
+        return static_cast<std::uint64_t>(attempt.request) << 32 | static_cast<std::uint32_t>(attempt.number);
+    }
+
+    bool may_begin(const ServerConnection& connection) override;
+    void answer_began(ServerConnection& connection) override;
+    void exchange_ended(ServerConnection& connection, Outcome outcome, bool reusable) override;
+    void idle_broken(ServerConnection& connection) override;
+
+    // A connection to the host, kept or new; none, and why, where there can be none.
+    Entry* acquire(HostId host, Outcome& why_not);
+    void report(const std::optional<AttemptId>& attempt, HostId host, Outcome outcome, Duration took,
+                LoadReport&& load, Payload&& answer);
+    void drop(ServerConnection& connection);
+    void drop_oldest_idle();
+    void sweep();
+
+    Engine& engine_;
+    const HostDirectory& hosts_;
+    Counters& counters_;
+    Reactor& reactor_;
+    Limits limits_;
+    std::unordered_map<ServerConnection*, Entry> connections_;
+    std::unordered_map<std::uint64_t, ServerConnection*> attempts_;
+    std::unordered_map<HostId, std::vector<ServerConnection*>> idle_;    // the last used at the end
+    Timers::Id sweep_timer_ = 0;
+    LogGate gate_;
+};
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/net/service.h
@@ -0,0 +1,49 @@
+// All parts of one gateway, wired together.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "core/engine.h"
+#include "net/discovery_watch.h"
+#include "net/listener.h"
+#include "net/peer_socket.h"
+#include "net/reactor.h"
+#include "net/server_pool.h"
+
+namespace shaletray {
+
+class Service {
+public:
+    // Throws BadSettings, or Poco::Exception where an address cannot be used.
+    explicit Service(Config config);
+    ~Service();
+
+    // Until stopped. `look` runs once a turn, and at least ten times a second.
+    void run(std::function<void()> look);
+    // Finishes what was taken, then ends run().
+    void stop();
+
+    std::string address() const { return listener_->address(); }
+    std::string peer_address() const { return peers_->address(); }
+    const Counters& counters() const { return counters_; }
+
+private:
+    void look_after_stop();
+
+    Config config_;
+    SystemClock clock_;
+    Timers timers_;
+    Counters counters_;
+    Reactor reactor_{clock_, timers_};
+    HostDirectory hosts_;
+    Engine engine_;
+    std::unique_ptr<ServerPool> pool_;
+    std::unique_ptr<PeerSocket> peers_;
+    std::unique_ptr<Listener> listener_;
+    std::unique_ptr<DiscoveryWatch> watch_;
+    bool listed_ = false;
+    TimePoint stopping_since_{};
+};
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/platform/config.cpp
@@ -0,0 +1,145 @@
+#include "platform/config.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+#include "wire_codec.h"
+
+namespace shaletray {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string text_of(const Json& object, const char* name, bool must) {
+    const auto it = object.find(name);
+    if (it == object.end() || it->is_null()) {
+        if (must) throw BadConfig(fmt::format("field {}: missing", name));
+        return {};
+    }
+    if (!it->is_string()) throw BadConfig(fmt::format("field {}: not text", name));
+    return it->get<std::string>();
+}
+
+std::vector<std::string> texts_of(const Json& object, const char* name) {
+    std::vector<std::string> texts;
+    const auto it = object.find(name);
+    if (it == object.end() || it->is_null()) return texts;
+    if (!it->is_array()) throw BadConfig(fmt::format("field {}: not a list", name));
+    for (const Json& item : *it) {
+        if (!item.is_string()) throw BadConfig(fmt::format("field {}: not a list of texts", name));
+        texts.push_back(item.get<std::string>());
+    }
+    return texts;
+}
+
+Json object_of(const Json& object, const char* name) {
+    const auto it = object.find(name);
+    if (it == object.end() || it->is_null()) return Json::object();
+    if (!it->is_object()) throw BadConfig(fmt::format("field {}: not an object", name));
+    return *it;
+}
+
+double number_of(const Json& object, const char* name, double fallback) {
+    const auto it = object.find(name);
+    if (it == object.end() || it->is_null()) return fallback;
+    if (!it->is_number()) throw BadConfig(fmt::format("field {}: not a number", name));
+    return it->get<double>();
+}
+
+std::uint64_t seed_of(const std::string& text) {
+    std::uint64_t seed = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+    if (error != std::errc{} || end != text.data() + text.size())
+        throw BadConfig("field seed: not a number in hex digits");
+    return seed;
+}
+
+void read_settings(const Json& settings, Config& config) {
+    try {
+        config.settings = valehall::wire::parse_settings(settings);
+    } catch (const valehall::wire::BadMessage& error) {
+        throw BadConfig(error.what());
+    }
+    if (config.settings.classes.empty()) throw BadConfig("field settings.classes: missing or empty");
+    if (config.settings.plans.empty()) throw BadConfig("field settings.tiersOfService: missing or empty");
+    config.places.zones = texts_of(settings, "zones");
+    config.places.kinds = texts_of(settings, "kinds");
+    for (const Json& item : settings.at("classes")) {
+        const auto stream = item.find("stream");
+        config.streams.push_back(stream != item.end() && stream->is_boolean() && stream->get<bool>());
+    }
+    const Json limits = object_of(settings, "limits");
+    config.conn_idle = Duration(static_cast<std::int64_t>(number_of(limits, "connIdle", 15e6)));
+    config.dial_timeout = Duration(static_cast<std::int64_t>(number_of(limits, "dialTimeout", 250e3)));
+    if (config.conn_idle <= Duration(0)) throw BadConfig("field settings.limits.connIdle: must be above 0");
+    if (config.dial_timeout <= Duration(0))
+        throw BadConfig("field settings.limits.dialTimeout: must be above 0");
+}
+
+}    // namespace
+
+Duration Config::longest_deadline() const {
+    Duration longest{0};
+    for (const auto& c : settings.classes) longest = std::max(longest, c.give_up);
+    return longest;
+}
+
+Config parse_config(const std::string& text) {
+    const Json json = Json::parse(text, nullptr, false);
+    if (json.is_discarded() || !json.is_object()) throw BadConfig("not a JSON object");
+    Config config;
+    config.name = text_of(json, "name", false);
+    config.listen = text_of(json, "listen", true);
+    config.discovery = text_of(json, "discovery", true);
+    config.peer_listen = text_of(json, "peer_listen", false);
+    config.peers_all = text_of(json, "peers_all", false);
+    config.peers = texts_of(json, "peers");
+    if (const std::string seed = text_of(json, "seed", false); !seed.empty()) config.seed = seed_of(seed);
+    const double sockets = number_of(object_of(json, "limits"), "sockets", 1024);
+    if (!(sockets >= 64 && sockets <= 1e6)) throw BadConfig("field limits.sockets: must be 64 to 1000000");
+    config.sockets = static_cast<std::size_t>(sockets);
+    const auto settings = json.find("settings");
+    if (settings == json.end() || !settings->is_object())
+        throw BadConfig("field settings: missing or not an object");
+    read_settings(*settings, config);
+    if (config.settings.may_tell && !config.peers.empty() &&
+        config.peers.size() != static_cast<std::size_t>(config.settings.gateways)) {
+        throw BadConfig(fmt::format("field peers: {} addresses for {} gateways", config.peers.size(),
+                                    config.settings.gateways));
+    }
+    if (const auto known = json.find("known"); known != json.end() && known->is_object()) {
+        std::string error;
+        if (!parse_member_list(known->dump(), config.places, config.known, error))
+            throw BadConfig("field known: " + error);
+    }
+    return config;
+}
+
+Config config_from_environment() {
+    const char* const path = std::getenv("EDGE_CONFIG");
+    if (path == nullptr || *path == '\0') throw BadConfig("EDGE_CONFIG is not set: it names the configuration");
+    std::ifstream file(path, std::ios::binary);
+    if (!file) throw BadConfig(fmt::format("{}: cannot be read", path));
+    const std::string text(std::istreambuf_iterator<char>(file), {});
+    Config config;
+    try {
+        config = parse_config(text);
+    } catch (const BadConfig& error) {
+        throw BadConfig(fmt::format("{}: {}", path, error.what()));
+    }
+    const auto override_with = [](const char* name, std::string& value) {
+        if (const char* set = std::getenv(name); set != nullptr && *set != '\0') value = set;
+    };
+    override_with("EDGE_NAME", config.name);
+    override_with("EDGE_LISTEN", config.listen);
+    override_with("EDGE_DISCOVERY", config.discovery);
+    return config;
+}
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/platform/config.h
@@ -0,0 +1,40 @@
+// What a gateway is told when it starts: the configuration file and the settings in it.
+#pragma once
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "platform/member_list.h"
+#include "valehall/control.h"
+
+namespace shaletray {
+
+// What is wrong, in one plain line.
+class BadConfig : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+struct Config {
+    std::string name, listen, discovery, peer_listen, peers_all;
+    std::vector<std::string> peers;    // by their numbers, our own included
+    std::uint64_t seed = 0;
+    std::size_t sockets = 1024;
+    valehall::Settings settings;
+    // What the settings say beyond what the module reads.
+    PlaceNames places;
+    std::vector<bool> streams;    // by class
+    Duration conn_idle{0}, dial_timeout{0};
+    MemberList known;
+
+    Duration longest_deadline() const;
+};
+
+Config parse_config(const std::string& text);
+// Reads the file that EDGE_CONFIG names; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY go before what it says.
+Config config_from_environment();
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/platform/member_list.cpp
@@ -0,0 +1,133 @@
+#include "platform/member_list.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace shaletray {
+namespace {
+
+using Json = nlohmann::json;
+using valehall::HostId;
+using valehall::HostState;
+using valehall::ListKind;
+
+int place_of(const std::vector<std::string>& names, const std::string& name) {
+    const auto it = std::find(names.begin(), names.end(), name);
+    // A name the settings do not hold is like no place of ours.
+    return it == names.end() ? static_cast<int>(names.size()) : static_cast<int>(it - names.begin());
+}
+
+bool parse_member(const Json& json, const PlaceNames& places, Member& member) {
+    if (!json.is_object()) return false;
+    const auto text = [&](const char* name, std::string& value) {
+        const auto it = json.find(name);
+        if (it == json.end() || !it->is_string()) return false;
+        value = it->get<std::string>();
+        return !value.empty();
+    };
+    std::string phase, zone, kind;
+    if (!text("id", member.id) || !text("phase", phase)) return false;
+    if (phase == "in_service") member.entry.state = HostState::Healthy;
+    else if (phase == "terminating") member.entry.state = HostState::Draining;
+    else if (phase == "terminated") member.entry.state = HostState::Gone;
+    else return false;
+    if (!text("host_port", member.address) && member.entry.state != HostState::Gone) return false;
+    if (text("locality", zone)) member.entry.zone = place_of(places.zones, zone);
+    if (text("flavor", kind)) member.entry.kind = place_of(places.kinds, kind);
+    const auto number = [&](const char* name, double fallback) {
+        const auto it = json.find(name);
+        return it != json.end() && it->is_number() ? it->get<double>() : fallback;
+    };
+    member.entry.cell = static_cast<int>(std::clamp(number("cell", 0), 0.0, 1e9));
+    member.entry.rating = number("size", 1.0);
+    // 0 means long ago, and stays 0.
+    const double since = std::clamp(number("up_since_ms", 0), 0.0, 9e12);
+    member.entry.born = TimePoint(Duration(static_cast<std::int64_t>(since) * 1000));
+    return true;
+}
+
+// FNV-1a: the same number at every gateway and after every start.
+std::uint32_t hashed(std::string_view text) {
+    std::uint32_t hash = 2166136261U;
+    for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 16777619U;
+    return hash;
+}
+
+}    // namespace
+
+bool parse_member_list(std::string_view text, const PlaceNames& places, MemberList& list, std::string& error) {
+    const Json json = Json::parse(text, nullptr, false);
+    const auto members = json.is_object() ? json.find("members") : json.end();
+    const auto revision = json.is_object() ? json.find("revision") : json.end();
+    const auto complete = json.is_object() ? json.find("complete") : json.end();
+    if (json.is_discarded() || !json.is_object()) error = "not a JSON object";
+    else if (members == json.end() || !members->is_array()) error = "members: missing or not a list";
+    else if (revision == json.end() || !revision->is_number_integer()) error = "revision: missing or not a number";
+    else if (complete == json.end() || !complete->is_boolean()) error = "complete: missing or not true or false";
+    else error.clear();
+    if (!error.empty()) return false;
+    list = {};
+    list.revision = revision->get<std::int64_t>();
+    list.complete = complete->get<bool>();
+    for (const Json& item : *members) {
+        Member member;
+        if (parse_member(item, places, member)) list.members.push_back(std::move(member));
+        else ++list.skipped;
+    }
+    // Numbers are given in this order, so that gateways agree however their lists are sorted.
+    std::sort(list.members.begin(), list.members.end(),
+              [](const Member& a, const Member& b) { return a.id < b.id; });
+    return true;
+}
+
+// Two ids with the same hash must not become one server: the later one's is hashed again until it is free.
+HostId HostDirectory::number_for(const std::string& id) {
+    if (const auto it = numbers_.find(id); it != numbers_.end()) return it->second;
+    HostId number{hashed(id)};
+    for (int salt = 1; hosts_.contains(number); ++salt) number = HostId{hashed(id + "#" + std::to_string(salt))};
+    numbers_.emplace(id, number);
+    return number;
+}
+
+valehall::HostList HostDirectory::apply(const MemberList& list, ListKind kind, TimePoint now) {
+    valehall::HostList result;
+    result.kind = kind;
+    if (kind != ListKind::Delta) {
+        for (auto& [number, host] : hosts_) {
+            if (std::exchange(host.state, HostState::Gone) == HostState::Healthy) host.left = now;
+        }
+    }
+    for (const Member& member : list.members) {
+        const HostId number = number_for(member.id);
+        Host& host = hosts_[number];
+        host.id = member.id;
+        if (!member.address.empty()) host.address = member.address;
+        // A list repeats that a server drains: its grace runs from when that was told first.
+        if (member.entry.state == HostState::Healthy) host.left = TimePoint{};
+        else if (host.left == TimePoint{}) host.left = now;
+        host.state = member.entry.state;
+        result.hosts.push_back(member.entry);
+        result.hosts.back().host = number;
+    }
+    std::erase_if(hosts_, [&](const auto& item) {
+        if (item.second.state != HostState::Gone) return false;
+        numbers_.erase(item.second.id);
+        return true;
+    });
+    return result;
+}
+
+const HostDirectory::Host* HostDirectory::find(HostId host) const {
+    const auto it = hosts_.find(host);
+    return it == hosts_.end() ? nullptr : &it->second;
+}
+
+bool HostDirectory::may_begin(HostId host, TimePoint now) const {
+    const Host* const known = find(host);
+    if (known == nullptr) return false;
+    // Half of the grace, so that a byte that leaves late is still in time.
+    return known->state == HostState::Healthy || now - known->left < drain_grace_ / 2;
+}
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/platform/member_list.h
@@ -0,0 +1,59 @@
+// Discovery's lists of servers, and what is known of each server beyond what the module sees.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/clock.h"
+#include "valehall/control.h"
+
+namespace shaletray {
+
+struct PlaceNames {
+    std::vector<std::string> zones, kinds;    // a name's place is its number
+};
+
+struct Member {
+    std::string id, address;
+    valehall::HostEntry entry;    // but for the host, which the directory numbers
+};
+
+struct MemberList {
+    std::int64_t revision = 0;
+    bool complete = false;
+    std::size_t skipped = 0;    // entries that could not be read
+    std::vector<Member> members;
+};
+
+// False, with what is wrong, where the text is no list. An entry that cannot be read is skipped.
+bool parse_member_list(std::string_view text, const PlaceNames& places, MemberList& list, std::string& error);
+
+class HostDirectory {
+public:
+    explicit HostDirectory(Duration drain_grace) : drain_grace_(drain_grace) {}
+
+    struct Host {
+        std::string id, address;
+        valehall::HostState state = valehall::HostState::Healthy;
+        TimePoint left{};    // since when it is not healthy
+    };
+    // Takes the list in, and gives it as the module reads it.
+    valehall::HostList apply(const MemberList& list, valehall::ListKind kind, TimePoint now);
+    const Host* find(valehall::HostId host) const;
+    // Whether the first byte of a request may still go there.
+    bool may_begin(valehall::HostId host, TimePoint now) const;
+    std::size_t size() const { return hosts_.size(); }
+
+private:
+    valehall::HostId number_for(const std::string& id);
+
+    Duration drain_grace_;
+    std::unordered_map<valehall::HostId, Host> hosts_;
+    std::unordered_map<std::string, valehall::HostId> numbers_;
+};
+
+}    // namespace shaletray
--- /dev/null
+++ b/src/platform/messages.cpp
@@ -0,0 +1,214 @@
+#include "platform/messages.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <cmath>
+
+namespace shaletray {
+namespace {
+
+constexpr std::string_view kId = "X-Correlation-Id", kPlan = "X-Tier", kTimeLeft = "X-Time-Left",
+                           kKey = "Idempotency-Key", kTerms = "X-Call-Terms", kLoad = "X-Backend-Load",
+                           kUnprocessed = "X-Unprocessed", kType = "Content-Type";
+
+template <class Number>
+bool parse_number(std::string_view text, Number& value) {
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc{} && end == text.data() + text.size() && !text.empty();
+}
+
+// Calls `take` with each name=value of a list; false where one has no '='.
+template <class Take>
+bool each_pair(std::string_view text, char separator, Take take) {
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find(separator), text.size());
+        const std::string_view item = http::trimmed(text.substr(0, end));
+        text.remove_prefix(std::min(end + 1, text.size()));
+        const std::size_t equals = item.find('=');
+        if (equals == std::string_view::npos) return false;
+        take(http::trimmed(item.substr(0, equals)), http::trimmed(item.substr(equals + 1)));
+    }
+    return true;
+}
+
+bool parse_customer(std::string_view cookie, valehall::CustomerId& customer) {
+    std::string_view value;
+    each_pair(cookie, ';', [&](std::string_view name, std::string_view v) {
+        if (name == "customer") value = v;
+    });
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), number, 16);
+    if (value.size() != 16 || error != std::errc{} || end != value.data() + value.size()) return false;
+    customer = valehall::CustomerId{number};
+    return true;
+}
+
+bool parse_terms(std::string_view text, int gateways, Arrival& arrival) {
+    bool units = false, spread = false, first = false;
+    const bool pairs = each_pair(text, ',', [&](std::string_view name, std::string_view value) {
+        if (name == "units") units = parse_number(value, arrival.units);
+        else if (name == "spread") spread = parse_number(value, arrival.width);
+        else if (name == "first") first = parse_number(value, arrival.first_gateway);
+    });
+    return pairs && units && spread && first && std::isfinite(arrival.units) && arrival.units > 0.0 &&
+           arrival.width >= 1 && arrival.width <= gateways && arrival.first_gateway >= 0 &&
+           arrival.first_gateway < gateways;
+}
+
+template <class Items>
+int place_of(const Items& items, std::string_view name) {
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        if (items[i].name == name) return static_cast<int>(i);
+    }
+    return -1;
+}
+
+std::string_view first_part(std::string_view target) {
+    target.remove_prefix(1);
+    return target.substr(0, std::min(target.find_first_of("/?"), target.size()));
+}
+
+std::string_view reason_of(int status) {
+    switch (status) {
+        case 200: return "OK";
+        case 400: return "Bad Request";
+        case 404: return "Not Found";
+        case 405: return "Method Not Allowed";
+        case 408: return "Request Timeout";
+        case 413: return "Content Too Large";
+        case 429: return "Too Many Requests";
+        case 431: return "Request Header Fields Too Large";
+        case 501: return "Not Implemented";
+        case 502: return "Bad Gateway";
+        case 503: return "Service Unavailable";
+        default: return "Unknown";
+    }
+}
+
+}    // namespace
+
+bool parse_time_left(std::string_view text, Duration& left) {
+    if (text.empty()) return false;
+    const double unit = text.back() == 'm' ? 1000.0 : text.back() == 'u' ? 1.0 : 0.0;
+    double value = 0.0;
+    if (unit == 0.0 || !parse_number(text.substr(0, text.size() - 1), value)) return false;
+    if (!(value >= 0.0) || value * unit > 3.6e9) return false;    // an hour
+    left = Duration(static_cast<std::int64_t>(value * unit));
+    return true;
+}
+
+LoadReport parse_load(std::string_view text) {
+    static const std::map<std::string_view, std::string_view> kNames = {
+        {"inflight", "outstanding"}, {"queue", "backlog"},  {"util", "utilization"},
+        {"latency_ms", "recent_ms"}, {"qps", "throughput"}, {"eps", "errors_per_s"}};
+    LoadReport report;
+    each_pair(text, ',', [&](std::string_view name, std::string_view value) {
+        double number = 0.0;
+        if (!parse_number(value, number) || !std::isfinite(number)) return;
+        const auto known = kNames.find(name);
+        report.emplace(known == kNames.end() ? name : known->second, number);
+    });
+    return report;
+}
+
+bool asks_ready(const http::Parser& parser, const http::Buffer& buffer) {
+    const std::string_view target = parser.target(buffer);
+    return parser.method(buffer) == "GET" && target.substr(0, target.find('?')) == "/health/ready";
+}
+
+std::variant<Arrival, Rejection> read_request(const http::Parser& parser, const http::Buffer& buffer,
+                                              const Config& config) {
+    Arrival arrival;
+    const std::string_view method = parser.method(buffer), target = parser.target(buffer);
+    arrival.class_index = place_of(config.settings.classes, first_part(target));
+    if (arrival.class_index < 0) return Rejection{404, "unknown class of requests"};
+    const auto& cls = config.settings.classes[static_cast<std::size_t>(arrival.class_index)];
+    // The class fixes the method; another one would promise something else about being repeated.
+    const bool safe = cls.repeat == valehall::Repeat::Safe;
+    if (method != (safe ? "GET" : "POST")) return Rejection{405, "this class takes another method"};
+    arrival.streams = config.streams[static_cast<std::size_t>(arrival.class_index)];
+
+    const std::string_view id = parser.header(buffer, kId), key = parser.header(buffer, kKey);
+    if (id.empty()) return Rejection{400, "no correlation id"};
+    if (cls.repeat == valehall::Repeat::Keyed && key.empty()) return Rejection{400, "no idempotency key"};
+    arrival.plan_index = place_of(config.settings.plans, parser.header(buffer, kPlan));
+    if (arrival.plan_index < 0) return Rejection{400, "unknown plan"};
+    if (!parse_customer(parser.header(buffer, "Cookie"), arrival.customer))
+        return Rejection{400, "no customer, or a malformed one"};
+    if (!parse_terms(parser.header(buffer, kTerms), config.settings.gateways, arrival))
+        return Rejection{400, "malformed call terms"};
+    arrival.budget = cls.give_up;
+    if (const std::string_view left = parser.header(buffer, kTimeLeft);
+        !left.empty() && !parse_time_left(left, arrival.budget)) {
+        return Rejection{400, "malformed time left"};
+    }
+
+    std::string& head = arrival.payload.head;
+    const auto pass = [&](std::string_view name) {
+        const std::string_view value = parser.header(buffer, name);
+        if (!value.empty()) fmt::format_to(std::back_inserter(head), "{}: {}\r\n", name, value);
+    };
+    fmt::format_to(std::back_inserter(head), "{} {} HTTP/1.1\r\n", method, target);
+    pass("Host");
+    pass(kId);
+    pass(kKey);
+    pass(kType);
+    arrival.payload.body = parser.body(buffer);
+    if (!safe || !arrival.payload.body.empty())
+        fmt::format_to(std::back_inserter(head), "Content-Length: {}\r\n", arrival.payload.body.size());
+    return arrival;
+}
+
+Rejection rejection_of(http::Fault fault) {
+    switch (fault) {
+        case http::Fault::HeadTooLarge: return {431, "headers too large"};
+        case http::Fault::BodyTooLarge: return {413, "body over 64 KiB"};
+        case http::Fault::Unsupported: return {501, "transfer coding not supported"};
+        default: return {400, "malformed request"};
+    }
+}
+
+std::string write_request(const Payload& request, Duration left) {
+    return fmt::format("{}{}: {}u\r\n\r\n{}", request.head, kTimeLeft, left.count(), request.body);
+}
+
+std::string write_probe(std::string_view host) {
+    return fmt::format("GET /health/live HTTP/1.1\r\nHost: {}\r\n\r\n", host);
+}
+
+std::string write_watch(std::string_view host, std::int64_t revision) {
+    return fmt::format("GET /registry/instances?stream=1&index={} HTTP/1.1\r\nHost: {}\r\n\r\n", revision, host);
+}
+
+Outcome outcome_of(const http::Parser& parser, const http::Buffer& buffer) {
+    const int status = parser.status();
+    if (status == 200) return Outcome::Ok;
+    // Only the server's own word proves that it never ran.
+    if ((status == 503 || status == 504) && parser.header(buffer, kUnprocessed) == "1") return Outcome::Full;
+    return Outcome::Error;
+}
+
+LoadReport report_of(const http::Parser& parser, const http::Buffer& buffer) {
+    return parse_load(parser.header(buffer, kLoad));
+}
+
+Payload answer_of(const http::Parser& parser, const http::Buffer& buffer) {
+    Payload answer;
+    if (const std::string_view type = parser.header(buffer, kType); !type.empty())
+        answer.head = fmt::format("{}: {}\r\n", kType, type);
+    answer.body = parser.body(buffer);
+    return answer;
+}
+
+std::string write_answer(int status, std::string_view headers, std::string_view body, bool keep_alive) {
+    return fmt::format("HTTP/1.1 {} {}\r\n{}Content-Length: {}\r\n{}\r\n{}", status, reason_of(status), headers,
+                       body.size(), keep_alive ? "" : "Connection: close\r\n", body);
+}
+
+std::string retry_after(Duration wait) {
+    if (wait <= Duration(0)) return {};
+    return fmt::format("Retry-After: {:.3f}\r\n", std::chrono::duration<double>(wait).count());
+}
+
+}    // namespace shaletray
