--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -68,9 +68,8 @@
         ClientConnection* const key = client.get();
         clients_.emplace(key, std::move(client));
         return true;
-    } catch (const Poco::TimeoutException&) {
-        return false;    // it left before it was accepted
     } catch (const Poco::Exception& error) {
+        if (error.code() == POCO_EWOULDBLOCK) return false;    // none waits, or it left before that
         // Out of descriptors, above all: the listener stays readable, and trying on would spin.
         if (gate_.open()) log(LogLevel::Warning, "cannot accept: {}", error.displayText());
         make_room();
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -25,7 +25,7 @@
         open_ = connecting_ = true;
         socket_.connectNB(Poco::Net::SocketAddress(address));
         socket_.setNoDelay(true);
-        write_on(true);
+        watch_for(false, true);
         return true;
     } catch (const Poco::Exception&) {
         close();
@@ -43,7 +43,7 @@
     }
     if (connecting_) return true;
     if (!flush()) return false;
-    write_on(!sent_all());
+    watch_for(reads_, !sent_all());
     return true;
 }
 
@@ -104,33 +104,33 @@
             owner_.on_broken();
         } else {
             connecting_ = false;
-            read_on(true);
-            write_on(!sent_all());
+            watch_for(true, !sent_all());
             owner_.on_connected();
         }
     } else if (!flush()) {
         owner_.on_broken();
     } else if (sent_all()) {
-        write_on(false);
+        watch_for(reads_, false);
         owner_.on_sent();
     }
     reactor_.reckon_timeout();
 }
 
-void Stream::read_on(bool wanted) {
-    if (!open_ || reads_ == wanted) return;
-    const Poco::NObserver<Stream, Poco::Net::ReadableNotification> observer(*this, &Stream::on_readable);
-    if (wanted) reactor_.addEventHandler(socket_, observer);
-    else reactor_.removeEventHandler(socket_, observer);
-    reads_ = wanted;
-}
-
-void Stream::write_on(bool wanted) {
-    if (!open_ || writes_ == wanted) return;
-    const Poco::NObserver<Stream, Poco::Net::WritableNotification> observer(*this, &Stream::on_writable);
-    if (wanted) reactor_.addEventHandler(socket_, observer);
-    else reactor_.removeEventHandler(socket_, observer);
-    writes_ = wanted;
+void Stream::read_on(bool wanted) { watch_for(wanted, writes_); }
+
+// POCO 1.11 goes on polling for what a removed handler wanted while the socket has another handler: left in
+// place after a dial, a writable socket would wake every turn and keep a whole core busy. Only the removal of
+// the last handler ends the polling, so all are removed before those still wanted are added.
+void Stream::watch_for(bool reads, bool writes) {
+    if (!open_ || (reads == reads_ && writes == writes_)) return;
+    const Poco::NObserver<Stream, Poco::Net::ReadableNotification> on_read(*this, &Stream::on_readable);
+    const Poco::NObserver<Stream, Poco::Net::WritableNotification> on_write(*this, &Stream::on_writable);
+    if (reads_) reactor_.removeEventHandler(socket_, on_read);
+    if (writes_) reactor_.removeEventHandler(socket_, on_write);
+    if (reads) reactor_.addEventHandler(socket_, on_read);
+    if (writes) reactor_.addEventHandler(socket_, on_write);
+    reads_ = reads;
+    writes_ = writes;
 }
 
 void Stream::end_sending() {
@@ -143,8 +143,7 @@
 
 void Stream::close() {
     if (!open_) return;
-    read_on(false);
-    write_on(false);
+    watch_for(false, false);
     open_ = false;
     socket_.close();
 }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -49,7 +49,7 @@
     enum class Read { Data, Nothing, Ended };
     Read read();
     bool flush();
-    void write_on(bool wanted);
+    void watch_for(bool reads, bool writes);
     void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>& event);
     void on_writable(const Poco::AutoPtr<Poco::Net::WritableNotification>& event);
 
