--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# build, test, lint, run; `make example` starts the toy servers that `make run` is tried with.
+JOBS ?= 4
+SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.h' '*.cpp')
+
+.PHONY: build test test-plain test-sanitize lint format run example clean
+
+build:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DSHALETRAY_EXAMPLE=ON
+	cmake --build build -j$(JOBS)
+
+test: test-sanitize test-plain
+
+test-plain:
+	cmake -B build-test -DCMAKE_BUILD_TYPE=Release -DVALEHALL_TESTS=ON -DSHALETRAY_EXAMPLE=ON
+	cmake --build build-test -j$(JOBS)
+	ctest --test-dir build-test --output-on-failure -j$(JOBS)
+
+test-sanitize:
+	cmake -B build-sanitize -DCMAKE_BUILD_TYPE=Debug -DVALEHALL_TESTS=ON -DVALEHALL_SANITIZE=ON
+	cmake --build build-sanitize -j$(JOBS)
+	ctest --test-dir build-sanitize --output-on-failure -j$(JOBS)
+
+lint:
+	clang-format --dry-run --Werror $(SOURCES)
+
+format:
+	clang-format -i $(SOURCES)
+
+run: build
+	EDGE_CONFIG=$${EDGE_CONFIG:-example/config.json} exec build/shaletray
+
+example: build
+	exec build/toy_server
+
+clean:
+	rm -rf build build-test build-sanitize
--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -20,7 +20,8 @@
 class SystemClock : public Clock {
 public:
     TimePoint now() const override {
-        return TimePoint(base_) + std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - start_);
+        return TimePoint(base_) +
+               std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - start_);
     }
 
 private:
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -247,8 +247,16 @@
 }
 
 void Engine::give_up(RequestId id) {
+    Front* const front = drop(id);
+    if (front == nullptr) return;
     ++counters_.overdue;
-    if (Front* front = drop(id)) front->failed();
+    front->failed();
+}
+
+void Engine::give_up_all() {
+    std::vector<RequestId> ids;
+    for (const auto& [id, request] : requests_) ids.push_back(id);
+    for (const RequestId id : ids) give_up(id);
 }
 
 void Engine::forget_if_done(RequestId id) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -1,6 +1,6 @@
 // The engine: owns requests, attempts and timers, feeds the decision module and carries out what it decides.
-// It knows neither HTTP nor sockets nor this platform's names: a front hands requests in and takes answers out,
-// a backend carries attempts, mail carries peer messages.
+// It knows neither HTTP nor sockets nor this platform's names: a front hands requests in and takes answers
+// out, a backend carries attempts, mail carries peer messages.
 #pragma once
 
 #include <cstdint>
@@ -53,8 +53,8 @@
     virtual void failed() = 0;
 };
 
-// What carries attempts and probes. Each ends with one call of Engine::attempt_ended or probe_ended, which may
-// come before send or probe returns; none comes for an attempt that was called off.
+// What carries attempts and probes. Each ends with one call of Engine::attempt_ended or probe_ended, which
+// may come before send or probe returns; none comes for an attempt that was called off.
 class Backend {
 public:
     virtual ~Backend() = default;
@@ -95,6 +95,8 @@
     void list_heard(valehall::HostList&& list);
     void mail_heard(PeerId from, std::vector<std::uint8_t>&& bytes);
 
+    // The program ends now: whatever is still owed an answer gets one.
+    void give_up_all();
     std::size_t open_requests() const { return requests_.size(); }
 
 private:
--- a/src/core/timers.cpp
+++ b/src/core/timers.cpp
@@ -14,12 +14,12 @@
 }
 
 void Timers::run_due(TimePoint now) {
-    const Id newest = last_;
-    while (!heap_.empty() && heap_.top().when <= now && heap_.top().id <= newest) {
-        const Id id = heap_.top().id;
-        heap_.pop();
+    // Taken out first: what a task adds must neither run in this call nor stand before what was due already.
+    std::vector<Id> due;
+    for (; !heap_.empty() && heap_.top().when <= now; heap_.pop()) due.push_back(heap_.top().id);
+    for (const Id id : due) {
         const auto it = tasks_.find(id);
-        if (it == tasks_.end()) continue;
+        if (it == tasks_.end()) continue;    // cancelled, perhaps by a task before it
         const Task task = std::move(it->second);
         tasks_.erase(it);
         task();
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -18,7 +18,8 @@
 
 bool is_visible(char c) { return static_cast<unsigned char>(c) > 0x20 && c != 0x7f; }
 
-// Control characters have no place in a value: a bare CR or NUL there may be read as another header elsewhere.
+// Control characters have no place in a value: a bare CR or NUL there may be read as another header
+// elsewhere.
 bool is_value(char c) { return is_visible(c) || c == ' ' || c == '\t'; }
 
 // Whether a comma-separated list holds the word.
@@ -138,7 +139,10 @@
     if (fault_ != Fault::None) return Status::Bad;
     if (!head_done()) {
         // An empty line before a request is to be passed over.
-        while (kind_ == Kind::Request && scanned_ == 0 && buffer.unread().starts_with("\r\n")) buffer.consume(2);
+        while (kind_ == Kind::Request && buffer.unread().starts_with("\r\n")) {
+            buffer.consume(2);
+            scanned_ = 0;
+        }
         if (const Status status = parse_head(buffer); status != Status::Done) return status;
         if (const Status status = read_framing(buffer); status != Status::Done) return status;
     }
@@ -152,7 +156,7 @@
     if (end == std::string_view::npos) {
         if (all.size() > limits_.head) return bad(Fault::HeadTooLarge);
         // What can be no start line is refused at once: its sender may never send an empty line.
-        if (!all.empty() && !is_token(all.front())) return bad(Fault::Malformed);
+        if (!all.empty() && !is_token(all.front()) && all != "\r") return bad(Fault::Malformed);
         return Status::More;
     }
     if (end + 4 > limits_.head) return bad(Fault::HeadTooLarge);
@@ -190,9 +194,10 @@
     if (second == std::string_view::npos || !version(line.substr(second + 1))) return false;
     method_ = {0, first};
     target_ = {first + 1, second - first - 1};
-    const std::string_view method = line.substr(0, first), target = line.substr(first + 1, second - first - 1);
-    return !method.empty() && std::all_of(method.begin(), method.end(), is_token) && target.starts_with('/') &&
-           std::all_of(target.begin(), target.end(), is_visible);
+    const std::string_view method = line.substr(0, first),
+                           target = line.substr(first + 1, second - first - 1);
+    return !method.empty() && std::all_of(method.begin(), method.end(), is_token) &&
+           target.starts_with('/') && std::all_of(target.begin(), target.end(), is_visible);
 }
 
 bool Parser::parse_header_line(std::string_view head, std::size_t at, std::size_t end) {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -31,7 +31,18 @@
     Step decode(char* bytes, std::size_t length);
 
 private:
-    enum class State { Size, Extension, SizeEnd, Data, DataCr, DataLf, LineStart, Trailer, TrailerLf, LastLf };
+    enum class State {
+        Size,
+        Extension,
+        SizeEnd,
+        Data,
+        DataCr,
+        DataLf,
+        LineStart,
+        Trailer,
+        TrailerLf,
+        LastLf
+    };
     State state_ = State::Size;
     std::uint64_t left_ = 0;
     std::size_t line_ = 0;
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -7,9 +7,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kIdle = 300s;       // a client that asks nothing
-constexpr Duration kSlow = 15s;        // a request, or an answer, that does not get on
-constexpr Duration kLinger = 1s;       // for a client to read an answer before the connection is cut
+constexpr Duration kIdle = 300s;             // a client that asks nothing
+constexpr Duration kSlow = 15s;              // a request, or an answer, that does not get on
+constexpr Duration kLinger = 1s;             // for a client to read an answer before the connection is cut
 constexpr std::size_t kAhead = 96 * 1024;    // what a client may send ahead of its answer
 
 }    // namespace
--- a/src/net/peer_socket.cpp
+++ b/src/net/peer_socket.cpp
@@ -46,7 +46,8 @@
         return;
     }
     try {
-        const Poco::Net::SocketAddress& address = number < 0 ? all_ : peers_[static_cast<std::size_t>(number)];
+        const Poco::Net::SocketAddress& address =
+            number < 0 ? all_ : peers_[static_cast<std::size_t>(number)];
         const int sent = socket_.sendTo(bytes.data(), static_cast<int>(bytes.size()), address);
         ++(sent < 0 ? counters_.peer_send_failed : counters_.peer_sent);
     } catch (const Poco::Exception&) {
--- a/src/net/reactor.cpp
+++ b/src/net/reactor.cpp
@@ -40,8 +40,8 @@
     return id;
 }
 
-// POCO cuts the wait down to whole milliseconds: rounded up here, so that it neither spins in the last one nor
-// wakes before anything is due.
+// POCO cuts the wait down to whole milliseconds: rounded up here, so that it neither spins in the last one
+// nor wakes before anything is due.
 void Reactor::reckon_timeout() {
     Duration wait = kLongestWait;
     if (const auto next = timers_.next()) wait = std::clamp(*next - clock_.now(), Duration(0), wait);
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -31,7 +31,8 @@
 
 void ServerConnection::on_input() {
     if (state_ == State::Idle) {
-        owner_.idle_broken(*this);    // nobody asked: whatever it is, the next answer must not be taken for it
+        owner_.idle_broken(
+            *this);    // nobody asked: whatever it is, the next answer must not be taken for it
         return;
     }
     if (state_ != State::Reading && state_ != State::Writing) return;
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -18,7 +18,8 @@
     // Just dialled and about to carry the first byte: false where it must not go there any more.
     virtual bool may_begin(const ServerConnection& connection) = 0;
     virtual void answer_began(ServerConnection& connection) = 0;
-    // The exchange has ended, and by its outcome. With a whole answer, that is still in the connection's buffer.
+    // The exchange has ended, and by its outcome. With a whole answer, that is still in the connection's
+    // buffer.
     virtual void exchange_ended(ServerConnection& connection, Outcome outcome, bool reusable) = 0;
     virtual void idle_broken(ServerConnection& connection) = 0;
 };
--- a/src/net/server_pool.cpp
+++ b/src/net/server_pool.cpp
@@ -108,7 +108,8 @@
     Payload answer;
     if (whole) {
         load = report_of(connection.parser(), connection.input());
-        if (outcome == Outcome::Ok && entry.attempt) answer = answer_of(connection.parser(), connection.input());
+        if (outcome == Outcome::Ok && entry.attempt)
+            answer = answer_of(connection.parser(), connection.input());
     } else if (outcome == Outcome::ConnectFailed) {
         ++counters_.servers_dial_failed;
     } else if (connection.parser().fault() != http::Fault::None) {
--- a/src/net/server_pool.h
+++ b/src/net/server_pool.h
@@ -1,4 +1,5 @@
-// Carries attempts and probes to servers, and owns the connections for that: busy, dialling or kept for reuse.
+// Carries attempts and probes to servers, and owns the connections for that: busy, dialling or kept for
+// reuse.
 #pragma once
 
 #include <memory>
@@ -20,7 +21,8 @@
         Duration dial{0};
         Duration idle{0};    // a connection kept for reuse is closed after this
     };
-    ServerPool(Engine& engine, const HostDirectory& hosts, Counters& counters, Reactor& reactor, Limits limits);
+    ServerPool(Engine& engine, const HostDirectory& hosts, Counters& counters, Reactor& reactor,
+               Limits limits);
     ~ServerPool() override;
     ServerPool(const ServerPool&) = delete;
     ServerPool& operator=(const ServerPool&) = delete;
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -11,7 +11,7 @@
 constexpr double kClientShare = 0.6;           // of the others
 constexpr Duration kAcceptOn = 700ms;          // after the order to stop, for clients that do not know yet
 // The process is ended by force the longest deadline plus 0.7 s after that order.
-constexpr Duration kShortestGrace = 3s, kEndBefore = 450ms;
+constexpr Duration kShortestGrace = 3s, kEndBefore = 100ms;
 constexpr double kIdleShare = 0.6;    // of the time after which servers close a connection
 
 std::size_t share_of(const Config& config, double share) {
@@ -24,7 +24,8 @@
     : config_(std::move(config)),
       hosts_(config_.settings.drain_grace),
       engine_(config_.settings, config_.seed, clock_, timers_, counters_) {
-    const Duration idle(static_cast<std::int64_t>(static_cast<double>(config_.conn_idle.count()) * kIdleShare));
+    const Duration idle(
+        static_cast<std::int64_t>(static_cast<double>(config_.conn_idle.count()) * kIdleShare));
     pool_ = std::make_unique<ServerPool>(
         engine_, hosts_, counters_, reactor_,
         ServerPool::Limits{share_of(config_, 1.0 - kClientShare), config_.dial_timeout, idle});
@@ -62,6 +63,7 @@
     const Duration stopping = clock_.now() - stopping_since_;
     if (stopping >= kAcceptOn) listener_->end_accepting();
     const Duration longest = std::max(config_.longest_deadline(), kShortestGrace) + kAcceptOn - kEndBefore;
+    if (stopping >= longest) engine_.give_up_all();
     if ((stopping >= kAcceptOn && listener_->clients() == 0) || stopping >= longest) reactor_.stop();
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -31,7 +31,8 @@
     void adopt(const Poco::Net::StreamSocket& accepted);
     // False where it failed at once. Otherwise on_connected or on_broken follows.
     bool dial(const std::string& address);
-    // False where the connection broke. What the system does not take now is written later, then on_sent comes.
+    // False where the connection broke. What the system does not take now is written later, then on_sent
+    // comes.
     bool send(std::string bytes);
     bool sent_all() const { return sent_ == unsent_.size(); }
     http::Buffer& input() { return input_; }
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -123,7 +123,8 @@
 
 Config config_from_environment() {
     const char* const path = std::getenv("EDGE_CONFIG");
-    if (path == nullptr || *path == '\0') throw BadConfig("EDGE_CONFIG is not set: it names the configuration");
+    if (path == nullptr || *path == '\0')
+        throw BadConfig("EDGE_CONFIG is not set: it names the configuration");
     std::ifstream file(path, std::ios::binary);
     if (!file) throw BadConfig(fmt::format("{}: cannot be read", path));
     const std::string text(std::istreambuf_iterator<char>(file), {});
--- a/src/platform/member_list.cpp
+++ b/src/platform/member_list.cpp
@@ -56,15 +56,18 @@
 
 }    // namespace
 
-bool parse_member_list(std::string_view text, const PlaceNames& places, MemberList& list, std::string& error) {
+bool parse_member_list(std::string_view text, const PlaceNames& places, MemberList& list,
+                       std::string& error) {
     const Json json = Json::parse(text, nullptr, false);
     const auto members = json.is_object() ? json.find("members") : json.end();
     const auto revision = json.is_object() ? json.find("revision") : json.end();
     const auto complete = json.is_object() ? json.find("complete") : json.end();
     if (json.is_discarded() || !json.is_object()) error = "not a JSON object";
     else if (members == json.end() || !members->is_array()) error = "members: missing or not a list";
-    else if (revision == json.end() || !revision->is_number_integer()) error = "revision: missing or not a number";
-    else if (complete == json.end() || !complete->is_boolean()) error = "complete: missing or not true or false";
+    else if (revision == json.end() || !revision->is_number_integer())
+        error = "revision: missing or not a number";
+    else if (complete == json.end() || !complete->is_boolean())
+        error = "complete: missing or not true or false";
     else error.clear();
     if (!error.empty()) return false;
     list = {};
@@ -85,7 +88,8 @@
 HostId HostDirectory::number_for(const std::string& id) {
     if (const auto it = numbers_.find(id); it != numbers_.end()) return it->second;
     HostId number{hashed(id)};
-    for (int salt = 1; hosts_.contains(number); ++salt) number = HostId{hashed(id + "#" + std::to_string(salt))};
+    for (int salt = 1; hosts_.contains(number); ++salt)
+        number = HostId{hashed(id + "#" + std::to_string(salt))};
     numbers_.emplace(id, number);
     return number;
 }
--- a/src/platform/messages.cpp
+++ b/src/platform/messages.cpp
@@ -178,7 +178,8 @@
 }
 
 std::string write_watch(std::string_view host, std::int64_t revision) {
-    return fmt::format("GET /registry/instances?stream=1&index={} HTTP/1.1\r\nHost: {}\r\n\r\n", revision, host);
+    return fmt::format("GET /registry/instances?stream=1&index={} HTTP/1.1\r\nHost: {}\r\n\r\n", revision,
+                       host);
 }
 
 Outcome outcome_of(const http::Parser& parser, const http::Buffer& buffer) {
@@ -202,8 +203,8 @@
 }
 
 std::string write_answer(int status, std::string_view headers, std::string_view body, bool keep_alive) {
-    return fmt::format("HTTP/1.1 {} {}\r\n{}Content-Length: {}\r\n{}\r\n{}", status, reason_of(status), headers,
-                       body.size(), keep_alive ? "" : "Connection: close\r\n", body);
+    return fmt::format("HTTP/1.1 {} {}\r\n{}Content-Length: {}\r\n{}\r\n{}", status, reason_of(status),
+                       headers, body.size(), keep_alive ? "" : "Connection: close\r\n", body);
 }
 
 std::string retry_after(Duration wait) {
--- /dev/null
+++ b/tests/engine_test.cpp
@@ -0,0 +1,161 @@
+// The engine between a scripted front and a scripted backend: who is told what, and how often.
+#include "core/engine.h"
+
+#include <gtest/gtest.h>
+
+#include "gateway_settings.h"
+#include "platform/config.h"
+
+namespace shaletray {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct TestClock : Clock {
+    TimePoint time{1000s};
+    TimePoint now() const override { return time; }
+};
+
+struct TestFront : Front {
+    int served_count = 0, refused_count = 0, failed_count = 0;
+    void served(Payload&&) override { ++served_count; }
+    void refused(Duration) override { ++refused_count; }
+    void failed() override { ++failed_count; }
+    int answers() const { return served_count + refused_count + failed_count; }
+};
+
+class EngineTest : public ::testing::Test, public Backend, public Mail, public ListSource {
+protected:
+    EngineTest() {
+        engine_.connect(*this, *this, *this);
+        valehall::HostList list;
+        for (std::uint32_t i = 1; i <= 2; ++i) {
+            list.hosts.emplace_back();
+            list.hosts.back().host = HostId{i};
+        }
+        engine_.list_heard(std::move(list));
+    }
+
+    void send(AttemptId attempt, HostId, const Payload&, Duration left) override {
+        sent_.push_back(attempt);
+        left_ = left;
+        if (refuse_connections_) engine_.attempt_ended(attempt, Outcome::ConnectFailed);
+    }
+    void cancel(AttemptId) override { ++called_off_; }
+    void probe(HostId) override {}
+    void tell(PeerId, const std::vector<std::uint8_t>&) override {}
+    void subscribe() override {}
+
+    RequestId ask(int cls = 0, bool streams = false) {
+        Arrival arrival;
+        arrival.class_index = cls;
+        arrival.budget = 500ms;
+        arrival.streams = streams;
+        return engine_.take(front_, std::move(arrival));
+    }
+    void pass(Duration span) {
+        for (const TimePoint end = clock_.time + span; clock_.time < end; clock_.time += 1ms)
+            timers_.run_due(clock_.time);
+    }
+    Counters::Count outcomes(Outcome o) const { return counters_.outcomes[static_cast<std::size_t>(o)]; }
+    Counters::Count ended() const {
+        Counters::Count sum = 0;
+        for (const auto n : counters_.outcomes) sum += n;
+        return sum;
+    }
+
+    static constexpr int kPay = 1;
+    TestClock clock_;
+    Timers timers_;
+    Counters counters_;
+    Engine engine_{parse_config(test::config_text("127.0.0.1:1")).settings, 7, clock_, timers_, counters_};
+    TestFront front_;
+    std::vector<AttemptId> sent_;
+    Duration left_{0};
+    int called_off_ = 0;
+    bool refuse_connections_ = false;
+};
+
+TEST_F(EngineTest, AGoodAnswerIsTheOneFinalAnswer) {
+    const RequestId id = ask();
+    ASSERT_EQ(sent_.size(), 1U);
+    EXPECT_EQ(left_, 500ms);
+    engine_.attempt_ended(sent_[0], Outcome::Ok);
+    engine_.attempt_ended(sent_[0], Outcome::Reset);    // an outcome counts once
+    engine_.withdraw(id);
+    pass(1s);
+    EXPECT_EQ(front_.served_count, 1);
+    EXPECT_EQ(front_.answers(), 1);
+    EXPECT_EQ(ended(), 1U);
+    EXPECT_EQ(engine_.open_requests(), 0U);
+}
+
+TEST_F(EngineTest, AnAttemptThatIsNotAnsweredEndsWithTheDeadlineAndTheRequestIsAnsweredThen) {
+    ask();
+    pass(600ms);
+    EXPECT_EQ(front_.answers(), 1);
+    EXPECT_EQ(called_off_, 1);
+    EXPECT_EQ(outcomes(Outcome::Timeout), 1U);
+    EXPECT_EQ(counters_.overdue, 0U);
+    EXPECT_EQ(engine_.open_requests(), 0U);
+}
+
+TEST_F(EngineTest, AClientThatLeavesReleasesItsAttempts) {
+    engine_.withdraw(ask());
+    EXPECT_EQ(called_off_, 1);
+    EXPECT_EQ(outcomes(Outcome::Cancelled), 1U);
+    engine_.attempt_ended(sent_[0], Outcome::Ok);
+    pass(1s);
+    EXPECT_EQ(front_.answers(), 0);
+    EXPECT_EQ(ended(), 1U);
+    EXPECT_EQ(engine_.open_requests(), 0U);
+}
+
+// Failures inside send() must reach the module after the actions that came with it, and never nest.
+TEST_F(EngineTest, FailuresAtOnceAreFollowedByOneAnswer) {
+    refuse_connections_ = true;
+    ask(kPay);
+    pass(1s);
+    EXPECT_GE(sent_.size(), 1U);
+    EXPECT_LE(sent_.size(), 5U);
+    EXPECT_EQ(outcomes(Outcome::ConnectFailed), sent_.size());
+    EXPECT_EQ(front_.answers(), 1);
+    EXPECT_EQ(engine_.open_requests(), 0U);
+}
+
+TEST_F(EngineTest, OnlyAStreamsBeginningIsToldAndItsBreakFails) {
+    ask();
+    engine_.attempt_began(sent_[0]);
+    pass(600ms);
+    EXPECT_EQ(outcomes(Outcome::Timeout), 1U);    // no stream: its time-out still runs
+    ask(0, true);
+    engine_.attempt_began(sent_[1]);
+    pass(5s);
+    EXPECT_EQ(engine_.open_requests(), 1U);
+    engine_.attempt_ended(sent_[1], Outcome::Reset);
+    EXPECT_EQ(front_.failed_count, 1);
+    EXPECT_EQ(engine_.open_requests(), 0U);
+}
+
+TEST(Timers, RunInOrderAndNotBeforeTheyAreDue) {
+    Timers timers;
+    std::string order;
+    timers.at(TimePoint(2ms), [&] { order += 'b'; });
+    Timers::Id gone = timers.at(TimePoint(1ms), [&] { order += 'x'; });
+    timers.at(TimePoint(1ms), [&] {
+        order += 'a';
+        timers.at(TimePoint(1ms), [&] { order += 'c'; });
+    });
+    timers.cancel(gone);
+    EXPECT_EQ(timers.next(), TimePoint(1ms));
+    timers.run_due(TimePoint(0ms));
+    EXPECT_EQ(order, "");
+    timers.run_due(TimePoint(2ms));
+    EXPECT_EQ(order, "ab");    // what a task adds waits, so that it cannot hold up the turn
+    timers.run_due(TimePoint(2ms));
+    EXPECT_EQ(order, "abc");
+    EXPECT_EQ(timers.next(), std::nullopt);
+}
+
+}    // namespace
+}    // namespace shaletray
--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,327 @@
+// A whole gateway on real sockets, against servers and a discovery made of POCO's HTTP server: one test for
+// each of the five rules, and what an operator does to it.
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/StreamCopier.h>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include "gateway_settings.h"
+#include "net/service.h"
+
+namespace shaletray {
+namespace {
+
+using namespace std::chrono_literals;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+using test::member;
+
+using Handle = std::function<void(HTTPServerRequest&, HTTPServerResponse&)>;
+
+struct Handler : Poco::Net::HTTPRequestHandler {
+    explicit Handler(Handle handle) : handle_(std::move(handle)) {}
+    void handleRequest(HTTPServerRequest& request, HTTPServerResponse& response) override {
+        handle_(request, response);
+    }
+    Handle handle_;
+};
+
+struct Factory : Poco::Net::HTTPRequestHandlerFactory {
+    explicit Factory(Handle handle) : handle_(std::move(handle)) {}
+    Poco::Net::HTTPRequestHandler* createRequestHandler(const HTTPServerRequest&) override {
+        return new Handler(handle_);    // the server owns it
+    }
+    Handle handle_;
+};
+
+class HttpStub {
+public:
+    explicit HttpStub(const Handle& handle)
+        : socket_(Poco::Net::SocketAddress("127.0.0.1", 0)),
+          server_(new Factory(handle), socket_, new Poco::Net::HTTPServerParams) {
+        server_.start();
+    }
+    ~HttpStub() { server_.stopAll(true); }
+    std::string address() const { return socket_.address().toString(); }
+    int connections() const { return server_.totalConnections(); }
+
+private:
+    Poco::Net::ServerSocket socket_;
+    Poco::Net::HTTPServer server_;
+};
+
+// A server that answers with the request's id and body, or does as it is told.
+struct Server {
+    enum class Mode { Answer, Reset, Hang, Slow };
+    explicit Server(Mode how = Mode::Answer) : mode(how) {}
+
+    Mode mode;
+    std::atomic<int> requests{0};
+    std::atomic<bool> over{false};
+    HttpStub stub{[this](HTTPServerRequest& request, HTTPServerResponse& response) {
+        std::string body;
+        Poco::StreamCopier::copyToString(request.stream(), body);
+        ++requests;
+        if (mode == Mode::Reset) {
+            auto& real = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request);
+            real.socket().setLinger(true, 0);
+            real.detachSocket().close();
+            return;
+        }
+        while (mode == Mode::Hang && !over) std::this_thread::sleep_for(5ms);
+        if (mode == Mode::Slow) std::this_thread::sleep_for(300ms);
+        const std::string answer = request.get("X-Correlation-Id") + ":" + body;
+        response.setContentLength(static_cast<int>(answer.size()));
+        response.send() << answer;
+    }};
+    ~Server() { over = true; }
+};
+
+// Gives its list once, then each line that is told, and an empty one now and then.
+class Discovery {
+public:
+    explicit Discovery(const std::string& members) { tell(members, true); }
+    ~Discovery() {
+        const std::lock_guard lock(mutex_);
+        over_ = true;
+        changed_.notify_all();
+    }
+    std::string address() const { return stub_.address(); }
+    // Returns once the line is written.
+    void tell(const std::string& members, bool complete = false) {
+        std::unique_lock lock(mutex_);
+        lines_.push_back(R"({"revision":)" + std::to_string(lines_.size() + 2) + R"(,"complete":)" +
+                         (complete ? "true" : "false") + R"(,"members":[)" + members + "]}\n");
+        changed_.notify_all();
+        if (!complete) changed_.wait_for(lock, 10s, [&] { return written_ == lines_.size(); });
+    }
+
+private:
+    void watch(HTTPServerResponse& response) {
+        response.setChunkedTransferEncoding(true);
+        std::ostream& out = response.send();
+        std::unique_lock lock(mutex_);
+        for (std::size_t next = 0; !over_ && out.good();) {
+            while (next < lines_.size()) out << lines_[next++] << std::flush;
+            written_ = next;
+            changed_.notify_all();
+            changed_.wait_for(lock, 50ms, [&] { return over_ || next < lines_.size(); });
+            out << "\n" << std::flush;
+        }
+    }
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<std::string> lines_;
+    std::size_t written_ = 0;
+    bool over_ = false;
+    HttpStub stub_{[this](HTTPServerRequest&, HTTPServerResponse& response) { watch(response); }};
+};
+
+class Gateway {
+public:
+    Gateway(const std::string& discovery, const std::string& known)
+        : service_(parse_config(test::config_text(discovery, known))) {
+        thread_ = std::thread([this] {
+            service_.run([this] {
+                if (stop_) service_.stop();
+            });
+        });
+    }
+    ~Gateway() { end(); }
+    void stop() { stop_ = true; }
+    // Ends it; its counters may be read then.
+    const Counters& end() {
+        stop();
+        if (thread_.joinable()) thread_.join();
+        return service_.counters();
+    }
+    std::string address() const { return service_.address(); }
+
+private:
+    Service service_;
+    std::atomic<bool> stop_{false};
+    std::thread thread_;
+};
+
+struct Answer {
+    int status = 0;
+    std::string body, retry_after;
+    bool keep_alive = false;
+};
+
+class Client {
+public:
+    explicit Client(const Gateway& gateway) : session_(Poco::Net::SocketAddress(gateway.address())) {
+        session_.setKeepAlive(true);
+        session_.setTimeout(Poco::Timespan(20, 0));
+    }
+    Answer ask(const std::string& path, const std::string& plan = "open", const std::string& left = "1500m",
+               const std::string& body = "") {
+        const bool reads = path.starts_with("/read") || path.starts_with("/health");
+        HTTPRequest request(reads ? "GET" : "POST", path, HTTPRequest::HTTP_1_1);
+        request.set("X-Correlation-Id", fmt::format("id-{}", ++asked_));
+        request.set("X-Tier", plan);
+        request.set("Cookie", "customer=00000000b4d65521");
+        request.set("X-Call-Terms", "units=2,spread=1,first=0");
+        request.set("X-Time-Left", left);
+        if (path.starts_with("/submit")) request.set("Idempotency-Key", fmt::format("k{}", asked_));
+        if (!reads) request.setContentLength(static_cast<int>(body.size()));
+        session_.sendRequest(request) << body;
+        Poco::Net::HTTPResponse response;
+        Answer answer;
+        Poco::StreamCopier::copyToString(session_.receiveResponse(response), answer.body);
+        answer.status = response.getStatus();
+        answer.retry_after = response.get("Retry-After", "");
+        answer.keep_alive = response.getKeepAlive();
+        return answer;
+    }
+
+private:
+    Poco::Net::HTTPClientSession session_;
+    int asked_ = 0;
+};
+
+std::string two(const Server& a, const Server& b) {
+    return member("a", a.stub.address()) + "," + member("b", b.stub.address());
+}
+
+TEST(Rules, OneEveryRequestTakenGetsOneFinalAnswer) {
+    Server silent(Server::Mode::Hang), good;
+    {
+        Discovery discovery(member("a", silent.stub.address()));
+        Gateway gateway(discovery.address(), member("a", silent.stub.address()));
+        const Answer late = Client(gateway).ask("/submit", "open", "400m");
+        EXPECT_NE(late.status, 200);
+        const Counters& counters = gateway.end();
+        EXPECT_EQ(counters.taken, 1U);
+        EXPECT_EQ(counters.overdue, 0U);    // the module answered, not the engine's guard
+    }
+    silent.over = true;
+    Discovery discovery(member("b", good.stub.address()));
+    Gateway gateway(discovery.address(), member("b", good.stub.address()));
+    Client client(gateway);
+    const std::string body(60'000, 'x');
+    EXPECT_EQ(client.ask("/submit", "open", "1500m", body).body, "id-1:" + body);
+    EXPECT_EQ(client.ask("/read").body, "id-2:");
+    EXPECT_EQ(client.ask("/health/ready").status, 200);
+}
+
+TEST(Rules, TwoARequestThatMayHaveRunIsNeitherRepeatedNorRefused) {
+    Server a(Server::Mode::Reset), b(Server::Mode::Reset);
+    Discovery discovery(two(a, b));
+    Gateway gateway(discovery.address(), two(a, b));
+    const Answer answer = Client(gateway).ask("/pay");
+    EXPECT_EQ(answer.status, 502);    // 429 or 503 would say that trying again is harmless
+    EXPECT_EQ(a.requests + b.requests, 1);
+    EXPECT_EQ(gateway.end().outcomes[static_cast<std::size_t>(Outcome::Reset)], 1U);
+}
+
+// The line is written before the request: in whichever order the sockets come up, the list is read first.
+TEST(Rules, ThreeNothingNewGoesToADrainedServer) {
+    Server a, b;
+    Discovery discovery(two(a, b));
+    Gateway gateway(discovery.address(), two(a, b));
+    Client client(gateway);
+    while (a.requests == 0) ASSERT_EQ(client.ask("/read").status, 200);
+    discovery.tell(member("a", a.stub.address(), "terminating"));
+    const int before = a.requests;
+    for (int i = 0; i < 20; ++i) EXPECT_EQ(client.ask("/read").status, 200);
+    EXPECT_EQ(a.requests, before);
+    EXPECT_GE(b.requests, 20);
+}
+
+TEST(Rules, FourAColdServerGetsNothingBeyondWhatTheModuleAsks) {
+    Server warm, cold;
+    const long now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                         std::chrono::system_clock::now().time_since_epoch())
+                         .count();
+    const std::string members =
+        member("a", warm.stub.address()) + "," + member("b", cold.stub.address(), "in_service", now);
+    Discovery discovery(members);
+    Gateway gateway(discovery.address(), members);
+    Client client(gateway);
+    for (int i = 0; i < 60; ++i) EXPECT_EQ(client.ask("/read").status, 200);
+    EXPECT_LT(cold.requests * 2, warm.requests);
+    EXPECT_LE(cold.stub.connections(), cold.requests);    // nothing is dialled ahead
+    EXPECT_EQ(gateway.end().sent, static_cast<Counters::Count>(warm.requests + cold.requests));
+}
+
+TEST(Rules, FiveACustomersCeilingHolds) {
+    Server server;
+    Discovery discovery(member("a", server.stub.address()));
+    const auto start = std::chrono::steady_clock::now();
+    Gateway gateway(discovery.address(), member("a", server.stub.address()));
+    std::atomic<int> refused{0}, advised{0};
+    std::vector<std::thread> clients;
+    for (int i = 0; i < 8; ++i) {
+        clients.emplace_back([&] {
+            Client client(gateway);
+            for (int k = 0; k < 4; ++k) {
+                const Answer answer = client.ask("/read", "capped");
+                refused += answer.status == 429;
+                advised += !answer.retry_after.empty();
+            }
+        });
+    }
+    for (std::thread& client : clients) client.join();
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - start;
+    EXPECT_LE(2.0 * server.requests, 8.0 + 4.0 * took.count() + 1.0);
+    EXPECT_GT(refused, 0);
+    EXPECT_GE(refused, advised);
+}
+
+TEST(Operations, AStopAnswersWhatWasTakenAndEndsTheConnection) {
+    Server slow(Server::Mode::Slow);
+    Discovery discovery(member("a", slow.stub.address()));
+    Gateway gateway(discovery.address(), member("a", slow.stub.address()));
+    Client client(gateway), late(gateway);
+    std::thread stopper([&] {
+        while (slow.requests == 0) std::this_thread::sleep_for(1ms);
+        gateway.stop();
+    });
+    const Answer answer = client.ask("/read");
+    stopper.join();
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_FALSE(answer.keep_alive);
+    EXPECT_EQ(late.ask("/health/ready").status, 503);    // still accepted, and told to go elsewhere
+    gateway.end();
+}
+
+TEST(Operations, BadInputIsAnsweredAndTheConnectionClosed) {
+    Discovery discovery("");
+    Gateway gateway(discovery.address(), "");
+    const struct {
+        std::string text, start;
+    } cases[] = {{"nonsense\r\n\r\n", "HTTP/1.1 400 "},
+                 {"GET /other HTTP/1.1\r\n\r\n", "HTTP/1.1 404 "},
+                 {"POST /submit HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", "HTTP/1.1 413 "},
+                 {"GET /read HTTP/1.1\r\nA: " + std::string(20'000, 'x'), "HTTP/1.1 431 "},
+                 {"GET /health/ready HTTP/1.0\r\n\r\n", "HTTP/1.1 503 "}};
+    for (const auto& c : cases) {
+        Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(gateway.address())};
+        socket.setReceiveTimeout(Poco::Timespan(20, 0));
+        socket.sendBytes(c.text.data(), static_cast<int>(c.text.size()));
+        std::string answer;
+        char bytes[512];
+        for (int n; (n = socket.receiveBytes(bytes, sizeof bytes)) > 0;) answer.append(bytes, bytes + n);
+        EXPECT_TRUE(answer.starts_with(c.start)) << answer;
+        EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    }
+}
+
+}    // namespace
+}    // namespace shaletray
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,207 @@
+// What this platform's configuration, lists and headers mean, by tables of cases.
+#include <gtest/gtest.h>
+
+#include "gateway_settings.h"
+#include "platform/config.h"
+#include "platform/messages.h"
+
+namespace shaletray {
+namespace {
+
+using namespace std::chrono_literals;
+using test::config_text;
+using test::member;
+using valehall::HostState;
+using valehall::ListKind;
+
+const Config& site() {
+    static const Config config = parse_config(config_text("127.0.0.1:1"));
+    return config;
+}
+
+// The status that the request is rejected with, or 0.
+int status_of(const std::string& start, const std::string& headers, Arrival* arrival = nullptr) {
+    http::Parser parser(http::Parser::Kind::Request);
+    http::Buffer buffer;
+    buffer.append(start + " HTTP/1.1\r\n" + headers + "\r\n");
+    if (parser.parse(buffer) != http::Status::Done) return -1;
+    auto read = read_request(parser, buffer, site());
+    if (const auto* rejection = std::get_if<Rejection>(&read)) return rejection->status;
+    if (arrival != nullptr) *arrival = std::get<Arrival>(std::move(read));
+    return 0;
+}
+
+const std::string kId = "X-Correlation-Id: 9b\r\n", kPlan = "X-Tier: capped\r\n",
+                  kCookie = "Cookie: a=b; customer=00000000b4d65521\r\n",
+                  kTerms = "X-Call-Terms: units=2,spread=1,first=0\r\n", kLeft = "X-Time-Left: 480m\r\n";
+
+TEST(Requests, AreReadOrRejected) {
+    const std::string all = kId + kPlan + kCookie + kTerms + kLeft;
+    const struct {
+        std::string start, headers;
+        int status;
+    } cases[] = {
+        {"GET /read", all, 0},
+        {"GET /read/x?y=1", all, 0},
+        {"GET /read?y=1", kId + kPlan + kCookie + kTerms, 0},
+        {"POST /submit", all + "Idempotency-Key: k\r\n", 0},
+        {"POST /submit", all, 400},
+        {"POST /pay", all, 0},
+        {"POST /read", all, 405},
+        {"GET /submit", all, 405},
+        {"GET /other", all, 404},
+        {"GET /", all, 404},
+        {"GET /read", kPlan + kCookie + kTerms, 400},
+        {"GET /read", kId + kCookie + kTerms, 400},
+        {"GET /read", kId + "X-Tier: gold\r\n" + kCookie + kTerms, 400},
+        {"GET /read", kId + kPlan + kTerms, 400},
+        {"GET /read", kId + kPlan + "Cookie: customer=xyz\r\n" + kTerms, 400},
+        {"GET /read", kId + kPlan + kCookie, 400},
+        {"GET /read", kId + kPlan + kCookie + "X-Call-Terms: units=2,spread=1\r\n", 400},
+        {"GET /read", kId + kPlan + kCookie + "X-Call-Terms: units=0,spread=1,first=0\r\n", 400},
+        {"GET /read", kId + kPlan + kCookie + "X-Call-Terms: units=nan,spread=1,first=0\r\n", 400},
+        {"GET /read", kId + kPlan + kCookie + "X-Call-Terms: units=2,spread=2,first=0\r\n", 400},
+        {"GET /read", kId + kPlan + kCookie + "X-Call-Terms: units=2,spread=1,first=1\r\n", 400},
+        {"GET /read", kId + kPlan + kCookie + kTerms + "X-Time-Left: 480\r\n", 400},
+    };
+    for (const auto& c : cases)
+        EXPECT_EQ(status_of(c.start, c.headers), c.status) << c.start << "\n" << c.headers;
+}
+
+TEST(Requests, PassOnWhatTheServerNeeds) {
+    Arrival arrival;
+    ASSERT_EQ(status_of("GET /read/x?y=1", kId + kPlan + kCookie + kTerms + kLeft, &arrival), 0);
+    EXPECT_EQ(arrival.customer, valehall::CustomerId{0xb4d65521});
+    EXPECT_EQ(arrival.plan_index, 1);
+    EXPECT_EQ(arrival.units, 2.0);
+    EXPECT_EQ(arrival.budget, 480ms);
+    EXPECT_EQ(write_request(arrival.payload, 100us),
+              "GET /read/x?y=1 HTTP/1.1\r\nX-Correlation-Id: 9b\r\nX-Time-Left: 100u\r\n\r\n");
+}
+
+TEST(Texts, TimeLeft) {
+    const struct {
+        const char* text;
+        bool good;
+        Duration left;
+    } cases[] = {{"480m", true, 480ms}, {"15u", true, 15us}, {"1.5m", true, 1500us}, {"0m", true, 0us},
+                 {"", false, {}},       {"480", false, {}},  {"m", false, {}},       {"-1m", false, {}},
+                 {"1s", false, {}},     {"nanm", false, {}}, {"1e30m", false, {}},   {"4 m", false, {}}};
+    for (const auto& c : cases) {
+        Duration left{0};
+        EXPECT_EQ(parse_time_left(c.text, left), c.good) << c.text;
+        EXPECT_EQ(left, c.left) << c.text;    // what is no time leaves it alone
+    }
+}
+
+TEST(Texts, LoadReport) {
+    EXPECT_EQ(parse_load("inflight=7, util=0.61,latency_ms=14.5,new=1"),
+              (LoadReport{{"outstanding", 7}, {"utilization", 0.61}, {"recent_ms", 14.5}, {"new", 1}}));
+    EXPECT_EQ(parse_load("inflight=x,util=nan,queue=2"), (LoadReport{{"backlog", 2}}));
+    EXPECT_EQ(parse_load("nonsense"), LoadReport{});
+}
+
+TEST(Answers, OutcomesFollowTheProtocolsTable) {
+    const struct {
+        const char *status, *headers;
+        Outcome outcome;
+    } cases[] = {{"200 OK", "", Outcome::Ok},
+                 {"500 E", "", Outcome::Error},
+                 {"503 S", "X-Unprocessed: 1\r\n", Outcome::Full},
+                 {"504 T", "x-unprocessed: 1\r\n", Outcome::Full},
+                 {"503 S", "", Outcome::Error},
+                 {"503 S", "X-Unprocessed: 0\r\n", Outcome::Error},
+                 {"500 E", "X-Unprocessed: 1\r\n", Outcome::Error},
+                 {"404 N", "", Outcome::Error}};
+    for (const auto& c : cases) {
+        http::Parser parser(http::Parser::Kind::Response);
+        http::Buffer buffer;
+        buffer.append(std::string("HTTP/1.1 ") + c.status + "\r\nContent-Length: 0\r\n" + c.headers + "\r\n");
+        ASSERT_EQ(parser.parse(buffer), http::Status::Done);
+        EXPECT_EQ(outcome_of(parser, buffer), c.outcome) << c.status << " " << c.headers;
+    }
+    EXPECT_EQ(retry_after(250ms), "Retry-After: 0.250\r\n");
+    EXPECT_EQ(retry_after(0ms), "");
+}
+
+TEST(Configuration, FaultsAreNamed) {
+    const std::string good = config_text("127.0.0.1:1");
+    const struct {
+        std::string from, to, expected;
+    } cases[] = {{"{", "[", "not a JSON object"},
+                 {"\"listen\"", "\"x\"", "listen"},
+                 {"\"8c1f\"", "\"8g\"", "seed"},
+                 {"\"sockets\":256", "\"sockets\":3", "sockets"},
+                 {"\"settings\"", "\"x\"", "settings"},
+                 {"\"classes\"", "\"x\"", "classes"},
+                 {"\"safe\"", "\"sure\"", "idempotency"},
+                 {"[\"127.0.0.1:9\"]", "[\"a\",\"b\"]", "peers"},
+                 {"\"members\":[]", "\"members\":1", "known"}};
+    for (const auto& c : cases) {
+        std::string text = good;
+        text.replace(text.find(c.from), c.from.size(), c.to);
+        try {
+            parse_config(text);
+            ADD_FAILURE() << c.from;
+        } catch (const BadConfig& error) {
+            EXPECT_NE(std::string(error.what()).find(c.expected), std::string::npos) << error.what();
+        }
+    }
+    EXPECT_EQ(parse_config(good).seed, 0x8c1fU);
+}
+
+MemberList list_of(const std::string& members, bool complete = true) {
+    MemberList list;
+    std::string error;
+    const std::string text = std::string(R"({"revision":4,"complete":)") + (complete ? "true" : "false") +
+                             R"(,"members":[)" + members + "]}";
+    EXPECT_TRUE(parse_member_list(text, site().places, list, error)) << error;
+    return list;
+}
+
+TEST(Lists, AreReadAndWhatCannotBeIsSkipped) {
+    const MemberList list = list_of(member("a", "h:1", "in_service", 1234) + R"(,{"id":"b"},7)");
+    ASSERT_EQ(list.members.size(), 1U);
+    EXPECT_EQ(list.skipped, 2U);
+    EXPECT_EQ(list.members[0].entry.born, TimePoint(1234ms));
+    EXPECT_EQ(list.members[0].entry.zone, 1);
+    EXPECT_EQ(list.members[0].entry.kind, 1);
+    EXPECT_EQ(list_of(member("a", "h:1")).members[0].entry.born, TimePoint{});
+    MemberList unread;
+    std::string error;
+    for (const char* bad : {"", "x", "[]", "{}", R"({"revision":1,"complete":true})",
+                            R"({"revision":"1","complete":true,"members":[]})"}) {
+        EXPECT_FALSE(parse_member_list(bad, site().places, unread, error)) << bad;
+    }
+}
+
+TEST(Lists, NumbersAreTheSameEverywhereAndNeverShared) {
+    // These two hash alike; the order in a list must not decide who gets which number.
+    const std::string one = member("costarring", "h:1"), other = member("liquid", "h:2");
+    HostDirectory a(250ms), b(250ms);
+    const auto x = a.apply(list_of(one + "," + other), ListKind::Full, {});
+    const auto y = b.apply(list_of(other + "," + one), ListKind::Full, {});
+    ASSERT_EQ(x.hosts.size(), 2U);
+    EXPECT_NE(x.hosts[0].host, x.hosts[1].host);
+    for (std::size_t i = 0; i < 2; ++i) EXPECT_EQ(a.find(x.hosts[i].host)->id, b.find(x.hosts[i].host)->id);
+}
+
+TEST(Lists, NoFirstByteGoesToADrainedOrRemovedServerAfterTheGrace) {
+    HostDirectory hosts(250ms);
+    const TimePoint start(100s);
+    const HostId a = hosts.apply(list_of(member("a", "h:1")), ListKind::Full, start).hosts[0].host;
+    EXPECT_TRUE(hosts.may_begin(a, start + 9s));
+    const MemberList drains = list_of(member("a", "h:1", "terminating"), false);
+    hosts.apply(drains, ListKind::Delta, start + 1s);
+    EXPECT_TRUE(hosts.may_begin(a, start + 1s + 50ms));
+    hosts.apply(drains, ListKind::Delta, start + 1s + 200ms);    // told again: the grace does not begin anew
+    EXPECT_FALSE(hosts.may_begin(a, start + 1s + 240ms));
+    hosts.apply(list_of(member("a", "h:1")), ListKind::Full, start + 2s);
+    EXPECT_TRUE(hosts.may_begin(a, start + 9s));
+    hosts.apply(list_of(""), ListKind::Full, start + 10s);    // a complete list removes what it lacks
+    EXPECT_FALSE(hosts.may_begin(a, start + 10s));
+    EXPECT_EQ(hosts.size(), 0U);
+}
+
+}    // namespace
+}    // namespace shaletray
