Read discovery only in turns that serve sockets; reuse the engine's memory

Seen: 172 of 455 system calls a second found nothing, most of them Reactor::turn reading discovery on timer turns, where the poll has just said that nothing came. Now only turns with ready sockets read it, still before all others. Engine::feed allocated a deque node and a vector for each event; both are kept now. Also: at a stop half a request is waited for 2 s, not 15 s: a probe with such a client ended after 2.0 s, before 5.6 s.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -138,25 +138,28 @@
     events_.push_back(std::move(event));
     if (feeding_) return;
     feeding_ = true;
-    std::vector<valehall::Action> actions;
-    while (!events_.empty()) {
-        const valehall::Event next = std::move(events_.front());
-        events_.pop_front();
-        actions.clear();
+    for (std::size_t next = 0; next < events_.size(); ++next) {
+        const valehall::Event current = std::move(events_[next]);    // more may be added meanwhile
         try {
-            module_.handle(clock_.now(), next, actions);
+            decide(current);
         } catch (const std::exception& error) {
             // The request it was about is answered as overdue; all others go on.
             static LogGate gate;
-            if (gate.open()) log(LogLevel::Error, "the decision module failed: {}", error.what());
-        }
-        for (const valehall::Action& action : actions) {
-            std::visit([this](const auto& a) { perform(a); }, action);
+            if (gate.open()) log(LogLevel::Error, "an event was not carried out: {}", error.what());
         }
     }
+    events_.clear();
     feeding_ = false;
 }
 
+void Engine::decide(const valehall::Event& event) {
+    actions_.clear();
+    module_.handle(clock_.now(), event, actions_);
+    for (const valehall::Action& action : actions_) {
+        std::visit([this](const auto& a) { perform(a); }, action);
+    }
+}
+
 void Engine::perform(const valehall::Send& action) {
     Request* request = find(action.request);
     const TimePoint now = clock_.now();
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -118,6 +117,7 @@
     Request* find(RequestId id);
     Attempt* find_out(AttemptId id);
     void feed(valehall::Event&& event);
+    void decide(const valehall::Event& event);
     void perform(const valehall::Send& action);
     void perform(const valehall::CancelAttempt& action);
     void perform(const valehall::Refuse& action);
@@ -144,7 +144,9 @@
     ListSource* lists_ = nullptr;
     std::unordered_map<RequestId, Request> requests_;
     std::uint32_t last_request_ = 0;
-    std::deque<valehall::Event> events_;    // an action's effects wait until all actions before them are done
+    // An action's effects wait until all actions before them are done. Kept for their memory.
+    std::vector<valehall::Event> events_;
+    std::vector<valehall::Action> actions_;
     bool feeding_ = false;
 };
 
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -7,8 +7,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kIdle = 300s;             // a client that asks nothing
-constexpr Duration kSlow = 15s;              // a request, or an answer, that does not get on
+constexpr Duration kIdle = 300s;    // a client that asks nothing
+constexpr Duration kSlow = 15s;     // a request, or an answer, that does not get on
+constexpr Duration kSlowAtStop = 2s;
 constexpr Duration kLinger = 1s;             // for a client to read an answer before the connection is cut
 constexpr std::size_t kAhead = 96 * 1024;    // what a client may send ahead of its answer
 
@@ -123,9 +124,11 @@
 
 void ClientConnection::sweep(TimePoint now) {
     const Duration stood = now - since_;
+    // At a stop, half a request is not waited for as long: it may keep the gateway from ending.
+    const Duration slow = context_.stopping ? kSlowAtStop : kSlow;
     const bool over = state_ == State::Lingering ? stood > kLinger
                       : idle()                   ? stood > kIdle
-                                                 : state_ != State::Waiting && stood > kSlow;
+                                                 : state_ != State::Waiting && stood > slow;
     if (over) close();
 }
 
--- a/src/net/reactor.cpp
+++ b/src/net/reactor.cpp
@@ -49,9 +49,9 @@
     setTimeout(Poco::Timespan(ms.count() * 1000));
 }
 
-void Reactor::turn() {
+void Reactor::turn(bool sockets) {
     reap();
-    if (before_turn_) before_turn_();
+    if (before_turn_) before_turn_(sockets);
     timers_.run_due(clock_.now());
     reckon_timeout();
 }
--- a/src/net/reactor.h
+++ b/src/net/reactor.h
@@ -21,8 +21,8 @@
 public:
     Reactor(const Clock& clock, Timers& timers);
 
-    // Runs first in each turn, before any socket is served.
-    void before_turn(std::function<void()> task) { before_turn_ = std::move(task); }
+    // Runs first in each turn; it is told whether sockets are about to be served.
+    void before_turn(std::function<void(bool)> task) { before_turn_ = std::move(task); }
     void retire(std::unique_ptr<Retired> done) { retired_.push_back(std::move(done)); }
     // Destroys what was handed over. Only while nothing of it is on the call stack.
     void reap() { retired_.clear(); }
@@ -35,16 +35,16 @@
     void reckon_timeout();
 
 protected:
-    void onBusy() override { turn(); }
-    void onTimeout() override { turn(); }
-    void onIdle() override { turn(); }
+    void onBusy() override { turn(true); }
+    void onTimeout() override { turn(false); }
+    void onIdle() override { turn(false); }
 
 private:
-    void turn();
+    void turn(bool sockets);
 
     const Clock& clock_;
     Timers& timers_;
-    std::function<void()> before_turn_;
+    std::function<void(bool)> before_turn_;
     std::vector<std::unique_ptr<Retired>> retired_;
 };
 
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -42,8 +42,10 @@
 Service::~Service() = default;
 
 void Service::run(std::function<void()> look) {
-    reactor_.before_turn([this, look = std::move(look)] {
-        watch_->read_now();
+    reactor_.before_turn([this, look = std::move(look)](bool sockets) {
+        // Discovery may be among them, and then comes before all others. A turn without sockets has nothing
+        // of it.
+        if (sockets) watch_->read_now();
         look();
         look_after_stop();
     });
--- a/src/platform/messages.cpp
+++ b/src/platform/messages.cpp
@@ -145,18 +145,17 @@
     }
 
     std::string& head = arrival.payload.head;
-    const auto pass = [&](std::string_view name) {
-        const std::string_view value = parser.header(buffer, name);
-        if (!value.empty()) fmt::format_to(std::back_inserter(head), "{}: {}\r\n", name, value);
+    head.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+    const auto add = [&](std::string_view name, std::string_view value) {
+        if (!value.empty()) head.append(name).append(": ").append(value).append("\r\n");
     };
-    fmt::format_to(std::back_inserter(head), "{} {} HTTP/1.1\r\n", method, target);
-    pass("Host");
-    pass(kId);
-    pass(kKey);
-    pass(kType);
+    add("Host", parser.header(buffer, "Host"));
+    add(kId, id);
+    add(kKey, key);
+    add(kType, parser.header(buffer, kType));
     arrival.payload.body = parser.body(buffer);
     if (!safe || !arrival.payload.body.empty())
-        fmt::format_to(std::back_inserter(head), "Content-Length: {}\r\n", arrival.payload.body.size());
+        add("Content-Length", std::to_string(arrival.payload.body.size()));
     return arrival;
 }
 
