Bound slow requests from their first byte; take only numeric server addresses

Seen on rereading: ClientConnection::on_input began the 15 s of a slow request anew with every byte, so a client that trickles could hold a descriptor for ever; Stream::dial would look a server's name up and hold the whole loop for that; X-Time-Left could outlast the class's deadline and with it the grace of a stop. Now the time runs from the first byte, an entry whose address is no address and port is skipped as unreadable, and the budget is cut to the class's.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -29,8 +29,8 @@
         stream_.input().consume(stream_.input().size());
         return;
     }
-    if (state_ == State::Reading && stream_.input().size() > 0 && !parser_.head_done())
-        since_ = context_.reactor.clock().now();
+    // From a request's first byte on: one that trickles in must not begin its time anew with every byte.
+    if (state_ == State::Reading && !std::exchange(begun_, true)) since_ = context_.reactor.clock().now();
     process();
     if (state_ != State::Reading && stream_.input().size() > kAhead) stream_.read_on(false);
 }
@@ -111,6 +111,7 @@
         return;
     }
     state_ = State::Reading;
+    begun_ = !stream_.input().empty();
     stream_.read_on(true);
     process();
 }
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -58,7 +58,8 @@
     State state_ = State::Reading;
     RequestId request_{};
     bool keep_alive_ = true, continued_ = false, processing_ = false;
-    TimePoint since_;    // when the state last changed
+    bool begun_ = false;    // some of a request is here
+    TimePoint since_;       // when the state last changed, or the request began
 };
 
 }    // namespace shaletray
--- a/src/net/server_pool.cpp
+++ b/src/net/server_pool.cpp
@@ -80,7 +80,6 @@
     Entry* const entry = acquire(host, why_not);
     if (entry == nullptr) return report(std::nullopt, host, why_not, {}, {}, {});
     ServerConnection* const connection = entry->connection.get();
-    entry->probing = true;
     entry->since = reactor_.clock().now();
     entry->limit = reactor_.after(limits_.dial, [this, connection] {
         const Outcome outcome = connection->dialling() ? Outcome::ConnectFailed : Outcome::Timeout;
@@ -125,7 +124,6 @@
         if (attempt) attempts_.erase(key(*attempt));
         reactor_.cancel(entry.limit);
         entry.attempt.reset();
-        entry.probing = false;
         entry.since = now;
         idle_[host].push_back(&connection);
     } else {
--- a/src/net/server_pool.h
+++ b/src/net/server_pool.h
@@ -37,8 +37,7 @@
     struct Entry {
         std::unique_ptr<ServerConnection> connection;
         std::optional<AttemptId> attempt;    // none: a probe, or kept for reuse
-        bool probing = false;
-        TimePoint since{};    // busy or idle
+        TimePoint since{};                   // busy or idle
         Timers::Id limit = 0;
     };
     static std::uint64_t key(AttemptId attempt) {
--- a/src/platform/member_list.cpp
+++ b/src/platform/member_list.cpp
@@ -1,6 +1,9 @@
 #include "platform/member_list.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -18,6 +21,21 @@
     return it == names.end() ? static_cast<int>(names.size()) : static_cast<int>(it - names.begin());
 }
 
+// A name would have to be looked up, and the whole gateway would wait for that.
+bool is_numeric_address(std::string_view text) {
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos) return false;
+    std::string_view host = text.substr(0, colon), port = text.substr(colon + 1);
+    unsigned number = 0;
+    const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), number);
+    if (error != std::errc{} || end != port.data() + port.size() || number < 1 || number > 65535)
+        return false;
+    const bool six = host.starts_with('[') && host.ends_with(']');
+    if (six) host = host.substr(1, host.size() - 2);
+    in6_addr parsed{};
+    return inet_pton(six ? AF_INET6 : AF_INET, std::string(host).c_str(), &parsed) == 1;
+}
+
 bool parse_member(const Json& json, const PlaceNames& places, Member& member) {
     if (!json.is_object()) return false;
     const auto text = [&](const char* name, std::string& value) {
@@ -33,6 +51,7 @@
     else if (phase == "terminated") member.entry.state = HostState::Gone;
     else return false;
     if (!text("host_port", member.address) && member.entry.state != HostState::Gone) return false;
+    if (!member.address.empty() && !is_numeric_address(member.address)) return false;
     if (text("locality", zone)) member.entry.zone = place_of(places.zones, zone);
     if (text("flavor", kind)) member.entry.kind = place_of(places.kinds, kind);
     const auto number = [&](const char* name, double fallback) {
--- a/src/platform/messages.cpp
+++ b/src/platform/messages.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -143,6 +144,8 @@
         !left.empty() && !parse_time_left(left, arrival.budget)) {
         return Rejection{400, "malformed time left"};
     }
+    // No client waits longer than its class says; a stop counts on that.
+    if (cls.give_up > Duration(0)) arrival.budget = std::min(arrival.budget, cls.give_up);
 
     std::string& head = arrival.payload.head;
     head.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -75,6 +75,9 @@
     EXPECT_EQ(arrival.plan_index, 1);
     EXPECT_EQ(arrival.units, 2.0);
     EXPECT_EQ(arrival.budget, 480ms);
+    ASSERT_EQ(status_of("GET /read", kId + kPlan + kCookie + kTerms + "X-Time-Left: 9000m\r\n", &arrival), 0);
+    EXPECT_EQ(arrival.budget, 2000ms);    // what its class waits at most
+    ASSERT_EQ(status_of("GET /read/x?y=1", kId + kPlan + kCookie + kTerms + kLeft, &arrival), 0);
     EXPECT_EQ(write_request(arrival.payload, 100us),
               "GET /read/x?y=1 HTTP/1.1\r\nX-Correlation-Id: 9b\r\nX-Time-Left: 100u\r\n\r\n");
 }
@@ -160,13 +163,14 @@
 }
 
 TEST(Lists, AreReadAndWhatCannotBeIsSkipped) {
-    const MemberList list = list_of(member("a", "h:1", "in_service", 1234) + R"(,{"id":"b"},7)");
+    const MemberList list = list_of(member("a", "127.0.0.1:1", "in_service", 1234) + R"(,{"id":"b"},7,)" +
+                                    member("c", "name:1") + "," + member("d", "127.0.0.1:0"));
     ASSERT_EQ(list.members.size(), 1U);
-    EXPECT_EQ(list.skipped, 2U);
+    EXPECT_EQ(list.skipped, 4U);
     EXPECT_EQ(list.members[0].entry.born, TimePoint(1234ms));
     EXPECT_EQ(list.members[0].entry.zone, 1);
     EXPECT_EQ(list.members[0].entry.kind, 1);
-    EXPECT_EQ(list_of(member("a", "h:1")).members[0].entry.born, TimePoint{});
+    EXPECT_EQ(list_of(member("a", "127.0.0.1:1")).members[0].entry.born, TimePoint{});
     MemberList unread;
     std::string error;
     for (const char* bad : {"", "x", "[]", "{}", R"({"revision":1,"complete":true})",
@@ -177,7 +181,7 @@
 
 TEST(Lists, NumbersAreTheSameEverywhereAndNeverShared) {
     // These two hash alike; the order in a list must not decide who gets which number.
-    const std::string one = member("costarring", "h:1"), other = member("liquid", "h:2");
+    const std::string one = member("costarring", "127.0.0.1:1"), other = member("liquid", "[::1]:2");
     HostDirectory a(250ms), b(250ms);
     const auto x = a.apply(list_of(one + "," + other), ListKind::Full, {});
     const auto y = b.apply(list_of(other + "," + one), ListKind::Full, {});
@@ -189,14 +193,14 @@
 TEST(Lists, NoFirstByteGoesToADrainedOrRemovedServerAfterTheGrace) {
     HostDirectory hosts(250ms);
     const TimePoint start(100s);
-    const HostId a = hosts.apply(list_of(member("a", "h:1")), ListKind::Full, start).hosts[0].host;
+    const HostId a = hosts.apply(list_of(member("a", "127.0.0.1:1")), ListKind::Full, start).hosts[0].host;
     EXPECT_TRUE(hosts.may_begin(a, start + 9s));
-    const MemberList drains = list_of(member("a", "h:1", "terminating"), false);
+    const MemberList drains = list_of(member("a", "127.0.0.1:1", "terminating"), false);
     hosts.apply(drains, ListKind::Delta, start + 1s);
     EXPECT_TRUE(hosts.may_begin(a, start + 1s + 50ms));
     hosts.apply(drains, ListKind::Delta, start + 1s + 200ms);    // told again: the grace does not begin anew
     EXPECT_FALSE(hosts.may_begin(a, start + 1s + 240ms));
-    hosts.apply(list_of(member("a", "h:1")), ListKind::Full, start + 2s);
+    hosts.apply(list_of(member("a", "127.0.0.1:1")), ListKind::Full, start + 2s);
     EXPECT_TRUE(hosts.may_begin(a, start + 9s));
     hosts.apply(list_of(""), ListKind::Full, start + 10s);    // a complete list removes what it lacks
     EXPECT_FALSE(hosts.may_begin(a, start + 10s));
