--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -100,6 +100,12 @@
         changed_.notify_all();
     }
     std::string address() const { return stub_.address(); }
+    // Ends the watch that is open now.
+    void hang_up() {
+        const std::lock_guard lock(mutex_);
+        ++hung_up_;
+        changed_.notify_all();
+    }
     // Returns once the line is written.
     void tell(const std::string& members, bool complete = false) {
         std::unique_lock lock(mutex_);
@@ -114,11 +120,12 @@
         response.setChunkedTransferEncoding(true);
         std::ostream& out = response.send();
         std::unique_lock lock(mutex_);
-        for (std::size_t next = 0; !over_ && out.good();) {
+        const int mine = hung_up_;
+        for (std::size_t next = 0; !over_ && mine == hung_up_ && out.good();) {
             while (next < lines_.size()) out << lines_[next++] << std::flush;
             written_ = next;
             changed_.notify_all();
-            changed_.wait_for(lock, 50ms, [&] { return over_ || next < lines_.size(); });
+            changed_.wait_for(lock, 50ms, [&] { return over_ || mine != hung_up_ || next < lines_.size(); });
             out << "\n" << std::flush;
         }
     }
@@ -128,6 +135,7 @@
     std::vector<std::string> lines_;
     std::size_t written_ = 0;
     bool over_ = false;
+    int hung_up_ = 0;
     HttpStub stub_{[this](HTTPServerRequest&, HTTPServerResponse& response) { watch(response); }};
 };
 
@@ -137,6 +145,7 @@
         : service_(parse_config(test::config_text(discovery, known))) {
         thread_ = std::thread([this] {
             service_.run([this] {
+                ++turns;
                 if (stop_) service_.stop();
             });
         });
@@ -151,6 +160,8 @@
     }
     std::string address() const { return service_.address(); }
 
+    std::atomic<long> turns{0};
+
 private:
     Service service_;
     std::atomic<bool> stop_{false};
@@ -301,6 +312,33 @@
     gateway.end();
 }
 
+// A handler left for writing would end every wait at once; see Stream::watch_for. A tenth of that is allowed.
+TEST(Operations, AKeptConnectionDoesNotKeepTheGatewayBusy) {
+    Server server;
+    Discovery discovery(member("a", server.stub.address()));
+    Gateway gateway(discovery.address(), member("a", server.stub.address()));
+    EXPECT_EQ(Client(gateway).ask("/read").status, 200);
+    const long before = gateway.turns;
+    const auto start = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(300ms);
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - start;
+    EXPECT_LT(static_cast<double>(gateway.turns - before), 500.0 * took.count());
+}
+
+TEST(Operations, AWatchThatBreaksIsBegunAnewAndBringsWhatWasMissed) {
+    Server a, b;
+    Discovery discovery(two(a, b));
+    Gateway gateway(discovery.address(), two(a, b));
+    Client client(gateway);
+    EXPECT_EQ(client.ask("/read").status, 200);
+    discovery.hang_up();
+    discovery.tell(member("a", a.stub.address(), "terminated"));
+    const int before = a.requests;
+    for (int i = 0; i < 10; ++i) EXPECT_EQ(client.ask("/read").status, 200);
+    EXPECT_EQ(a.requests, before);
+    EXPECT_GE(gateway.end().watches, 2U);
+}
+
 TEST(Operations, BadInputIsAnsweredAndTheConnectionClosed) {
     Discovery discovery("");
     Gateway gateway(discovery.address(), "");
