--- a/src/main.cpp
+++ b/src/main.cpp
@@ -35,6 +35,9 @@
     setrlimit(RLIMIT_NOFILE, &limit);
     if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
         config.sockets = std::min<std::size_t>(config.sockets, limit.rlim_cur);
+    // Fewer than this leave nothing to share out between clients and servers.
+    if (config.sockets < shaletray::kFewestSockets)
+        throw shaletray::BadConfig("too few descriptors may be opened");
 }
 
 int run() {
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -102,7 +102,8 @@
     config.peers = texts_of(json, "peers");
     if (const std::string seed = text_of(json, "seed", false); !seed.empty()) config.seed = seed_of(seed);
     const double sockets = number_of(object_of(json, "limits"), "sockets", 1024);
-    if (!(sockets >= 64 && sockets <= 1e6)) throw BadConfig("field limits.sockets: must be 64 to 1000000");
+    if (!(sockets >= static_cast<double>(kFewestSockets) && sockets <= 1e6))
+        throw BadConfig(fmt::format("field limits.sockets: must be {} to 1000000", kFewestSockets));
     config.sockets = static_cast<std::size_t>(sockets);
     const auto settings = json.find("settings");
     if (settings == json.end() || !settings->is_object())
--- a/src/platform/config.h
+++ b/src/platform/config.h
@@ -18,6 +18,8 @@
     using std::runtime_error::runtime_error;
 };
 
+constexpr std::size_t kFewestSockets = 64;
+
 struct Config {
     std::string name, listen, discovery, peer_listen, peers_all;
     std::vector<std::string> peers;    // by their numbers, our own included
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1,5 +1,6 @@
 // A whole gateway on real sockets, against servers and a discovery made of POCO's HTTP server: one test for
 // each of the five rules, and what an operator does to it.
+#include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -159,6 +160,7 @@
         return service_.counters();
     }
     std::string address() const { return service_.address(); }
+    std::string peer_address() const { return service_.peer_address(); }
 
     std::atomic<long> turns{0};
 
@@ -339,6 +341,19 @@
     EXPECT_GE(gateway.end().watches, 2U);
 }
 
+TEST(Operations, MailFromStrangersIsDropped) {
+    Discovery discovery("");
+    Gateway gateway(discovery.address(), "");
+    Poco::Net::DatagramSocket stranger(Poco::Net::SocketAddress("127.0.0.1", 0));
+    const std::string mail(200, '\x01'), long_mail(300, '\x01');
+    for (const std::string& text : {mail, long_mail, std::string()})
+        stranger.sendTo(text.data(), static_cast<int>(text.size()),
+                        Poco::Net::SocketAddress(gateway.peer_address()));
+    const Counters& counters = gateway.end();    // its last turns come after what was sent before
+    EXPECT_EQ(counters.peer_dropped, 3U);
+    EXPECT_EQ(counters.peer_taken, 0U);
+}
+
 TEST(Operations, BadInputIsAnsweredAndTheConnectionClosed) {
     Discovery discovery("");
     Gateway gateway(discovery.address(), "");
