Reload the configuration at SIGHUP and move the watch to its discovery

Checked: main.cpp handled SIGTERM, SIGINT and SIGUSR1 only, so the default action of SIGHUP ended the process. config_from_environment put EDGE_DISCOVERY before the file, so a handler alone would have stayed at the old address.

At fault: handle_signals in main.cpp; config_from_environment; DiscoveryWatch dialled config.discovery for good.

Now the handler only sets a flag; the turn reads and checks the file (config_from_file, without the environment), and the watch connects to the new address at once. List, requests and connections stay. From revision 0, since another discovery may count its revisions otherwise. A file that cannot be used is logged and counted and changes nothing. discovery must be a numeric address, at the start too: a name would be looked up while clients wait.

The test runs the program itself and fails without the handler.

--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -20,6 +20,7 @@
     Count clients_accepted = 0, clients_open = 0, clients_rejected = 0;
     Count servers_dialled = 0, servers_dial_failed = 0, servers_reused = 0, servers_open = 0;
     Count lists_full = 0, lists_changed = 0, watches = 0, bad_lines = 0, bad_answers = 0;
+    Count reloads = 0, reloads_failed = 0;
 
     // One line a subject.
     std::string text() const;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,17 +12,18 @@
 
 namespace {
 
-std::atomic<bool> stop_wanted{false}, counters_wanted{false};
+std::atomic<bool> stop_wanted{false}, counters_wanted{false}, reload_wanted{false};
 
 void on_signal(int signal) {
     if (signal == SIGUSR1) counters_wanted = true;
+    else if (signal == SIGHUP) reload_wanted = true;
     else stop_wanted = true;
 }
 
 void handle_signals() {
     struct sigaction action {};
     action.sa_handler = on_signal;
-    for (const int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaction(signal, &action, nullptr);
+    for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaction(signal, &action, nullptr);
     action.sa_handler = SIG_IGN;    // a write to a connection that has ended is answered by an error
     sigaction(SIGPIPE, &action, nullptr);
 }
@@ -40,6 +41,17 @@
         throw shaletray::BadConfig("too few descriptors may be opened");
 }
 
+// A file that cannot be used changes nothing: the gateway goes on as it is.
+void reload(shaletray::Service& service) {
+    try {
+        if (!service.reload(shaletray::config_from_file()))
+            shaletray::log(shaletray::LogLevel::Info, "the configuration holds nothing new to apply");
+    } catch (const std::exception& error) {
+        service.reload_failed();
+        shaletray::log(shaletray::LogLevel::Error, "not reloaded: {}", error.what());
+    }
+}
+
 int run() {
     if (const char* level = std::getenv("SHALETRAY_LOG");
         level != nullptr && !shaletray::set_log_level(std::string_view(level))) {
@@ -54,6 +66,7 @@
     shaletray::log(shaletray::LogLevel::Info, "{} listens on {}", name, service.address());
     service.run([&] {
         if (counters_wanted.exchange(false)) print();
+        if (reload_wanted.exchange(false)) reload(service);
         if (stop_wanted) service.stop();
     });
     print();
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -25,6 +25,7 @@
     : engine_(engine),
       hosts_(hosts),
       config_(config),
+      address_(config.discovery),
       counters_(counters),
       reactor_(reactor),
       heard_(std::move(heard)),
@@ -56,8 +57,18 @@
     last_heard_ = reactor_.clock().now();
     reactor_.cancel(silence_timer_);
     check_silence();
-    if (!stream_->dial(config_.discovery)) return broken("cannot connect");
-    stream_->send(write_watch(config_.discovery, revision_));
+    if (!stream_->dial(address_)) return broken("cannot connect");
+    stream_->send(write_watch(address_, revision_));
+}
+
+void DiscoveryWatch::move_to(const std::string& address) {
+    if (address == address_) return;
+    read_now();    // what the old one has told counts as told
+    address_ = address;
+    // Another discovery need not count its revisions as the last one did: from 0 on it tells all it has.
+    revision_ = 0;
+    backoff_ = Duration(0);
+    connect();
 }
 
 void DiscoveryWatch::read_now() {
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -19,6 +19,8 @@
 
     void start();
     void subscribe() override { connect(); }
+    // Goes on at another address, at once. What was heard stays until that one speaks.
+    void move_to(const std::string& address);
     // Takes in what has come, so that it counts before anything is sent in this turn.
     void read_now();
 
@@ -34,6 +36,7 @@
     Engine& engine_;
     HostDirectory& hosts_;
     const Config& config_;
+    std::string address_;
     Counters& counters_;
     Reactor& reactor_;
     std::function<void()> heard_;
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -60,6 +60,15 @@
     listener_->begin_stop();
 }
 
+bool Service::reload(const Config& changed) {
+    if (changed.discovery == config_.discovery) return false;
+    log(LogLevel::Info, "discovery moves from {} to {}", config_.discovery, changed.discovery);
+    config_.discovery = changed.discovery;
+    watch_->move_to(changed.discovery);
+    ++counters_.reloads;
+    return true;
+}
+
 void Service::look_after_stop() {
     if (stopping_since_ == TimePoint{}) return;
     const Duration stopping = clock_.now() - stopping_since_;
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -23,6 +23,9 @@
     void run(std::function<void()> look);
     // Finishes what was taken, then ends run().
     void stop();
+    // Takes over what may change in service: discovery's address. False where nothing differs.
+    bool reload(const Config& changed);
+    void reload_failed() { ++counters_.reloads_failed; }
 
     std::string address() const { return listener_->address(); }
     std::string peer_address() const { return peers_->address(); }
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -60,6 +60,12 @@
     return seed;
 }
 
+// A name would be looked up at every new watch, and all clients would wait for that.
+void check_discovery(const Config& config) {
+    if (!is_numeric_address(config.discovery))
+        throw BadConfig("field discovery: not a numeric address with a port");
+}
+
 void read_settings(const Json& settings, Config& config) {
     try {
         config.settings = valehall::wire::parse_settings(settings);
@@ -97,6 +103,7 @@
     config.name = text_of(json, "name", false);
     config.listen = text_of(json, "listen", true);
     config.discovery = text_of(json, "discovery", true);
+    check_discovery(config);
     config.peer_listen = text_of(json, "peer_listen", false);
     config.peers_all = text_of(json, "peers_all", false);
     config.peers = texts_of(json, "peers");
@@ -122,25 +129,29 @@
     return config;
 }
 
-Config config_from_environment() {
+Config config_from_file() {
     const char* const path = std::getenv("EDGE_CONFIG");
     if (path == nullptr || *path == '\0')
         throw BadConfig("EDGE_CONFIG is not set: it names the configuration");
     std::ifstream file(path, std::ios::binary);
     if (!file) throw BadConfig(fmt::format("{}: cannot be read", path));
     const std::string text(std::istreambuf_iterator<char>(file), {});
-    Config config;
     try {
-        config = parse_config(text);
+        return parse_config(text);
     } catch (const BadConfig& error) {
         throw BadConfig(fmt::format("{}: {}", path, error.what()));
     }
+}
+
+Config config_from_environment() {
+    Config config = config_from_file();
     const auto override_with = [](const char* name, std::string& value) {
         if (const char* set = std::getenv(name); set != nullptr && *set != '\0') value = set;
     };
     override_with("EDGE_NAME", config.name);
     override_with("EDGE_LISTEN", config.listen);
     override_with("EDGE_DISCOVERY", config.discovery);
+    check_discovery(config);
     return config;
 }
 
--- a/src/platform/config.h
+++ b/src/platform/config.h
@@ -38,5 +38,7 @@
 Config parse_config(const std::string& text);
 // Reads the file that EDGE_CONFIG names; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY go before what it says.
 Config config_from_environment();
+// The same file once more, for a reload: what it says now is newer than the environment, and goes before it.
+Config config_from_file();
 
 }    // namespace shaletray
--- a/src/platform/member_list.cpp
+++ b/src/platform/member_list.cpp
@@ -21,21 +21,6 @@
     return it == names.end() ? static_cast<int>(names.size()) : static_cast<int>(it - names.begin());
 }
 
-// A name would have to be looked up, and the whole gateway would wait for that.
-bool is_numeric_address(std::string_view text) {
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos) return false;
-    std::string_view host = text.substr(0, colon), port = text.substr(colon + 1);
-    unsigned number = 0;
-    const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), number);
-    if (error != std::errc{} || end != port.data() + port.size() || number < 1 || number > 65535)
-        return false;
-    const bool six = host.starts_with('[') && host.ends_with(']');
-    if (six) host = host.substr(1, host.size() - 2);
-    in6_addr parsed{};
-    return inet_pton(six ? AF_INET6 : AF_INET, std::string(host).c_str(), &parsed) == 1;
-}
-
 bool parse_member(const Json& json, const PlaceNames& places, Member& member) {
     if (!json.is_object()) return false;
     const auto text = [&](const char* name, std::string& value) {
@@ -75,6 +60,21 @@
 
 }    // namespace
 
+// A name would have to be looked up, and the whole gateway would wait for that.
+bool is_numeric_address(std::string_view text) {
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos) return false;
+    std::string_view host = text.substr(0, colon), port = text.substr(colon + 1);
+    unsigned number = 0;
+    const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), number);
+    if (error != std::errc{} || end != port.data() + port.size() || number < 1 || number > 65535)
+        return false;
+    const bool six = host.starts_with('[') && host.ends_with(']');
+    if (six) host = host.substr(1, host.size() - 2);
+    in6_addr parsed{};
+    return inet_pton(six ? AF_INET6 : AF_INET, std::string(host).c_str(), &parsed) == 1;
+}
+
 bool parse_member_list(std::string_view text, const PlaceNames& places, MemberList& list,
                        std::string& error) {
     const Json json = Json::parse(text, nullptr, false);
--- a/src/platform/member_list.h
+++ b/src/platform/member_list.h
@@ -29,6 +29,9 @@
     std::vector<Member> members;
 };
 
+// "10.1.0.18:3000" or "[::1]:3000".
+bool is_numeric_address(std::string_view text);
+
 // False, with what is wrong, where the text is no list. An entry that cannot be read is skipped.
 bool parse_member_list(std::string_view text, const PlaceNames& places, MemberList& list, std::string& error);
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -9,12 +9,18 @@
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Pipe.h>
+#include <Poco/PipeStream.h>
+#include <Poco/Process.h>
 #include <Poco/StreamCopier.h>
+#include <Poco/TemporaryFile.h>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <atomic>
 #include <condition_variable>
+#include <csignal>
+#include <fstream>
 #include <mutex>
 #include <thread>
 
@@ -178,7 +184,8 @@
 
 class Client {
 public:
-    explicit Client(const Gateway& gateway) : session_(Poco::Net::SocketAddress(gateway.address())) {
+    explicit Client(const Gateway& gateway) : Client(gateway.address()) {}
+    explicit Client(const std::string& address) : session_(Poco::Net::SocketAddress(address)) {
         session_.setKeepAlive(true);
         session_.setTimeout(Poco::Timespan(20, 0));
     }
@@ -341,6 +348,42 @@
     EXPECT_GE(gateway.end().watches, 2U);
 }
 
+// The whole program: without a handler SIGHUP ends it, and a discovery from the environment would go before
+// the new file's. What cannot be read must change nothing.
+TEST(Operations, AReloadMovesToTheNewDiscoveryAndABadFileChangesNothing) {
+    Server a, b;
+    Discovery first(member("a", a.stub.address())), second(member("b", b.stub.address()));
+    const Poco::TemporaryFile file;
+    const auto write = [&](const std::string& text) { std::ofstream(file.path()) << text; };
+    write(test::config_text(first.address(), member("a", a.stub.address())));
+    Poco::Pipe errors;
+    Poco::ProcessHandle program = Poco::Process::launch(
+        SHALETRAY, {}, {}, nullptr, nullptr, &errors,
+        {{"EDGE_CONFIG", file.path()}, {"EDGE_DISCOVERY", first.address()}, {"SHALETRAY_LOG", "info"}});
+    Poco::PipeInputStream log(errors);
+    const auto logged = [&](const std::string& text) {
+        std::string line;
+        while (std::getline(log, line) && line.find(text) == std::string::npos) {
+        }
+        return line;
+    };
+    const std::string listens = logged(" listens on ");
+    Client client(listens.substr(listens.rfind(' ') + 1));
+    EXPECT_EQ(client.ask("/read").status, 200);
+    EXPECT_EQ(a.requests, 1);
+    write("{");
+    kill(program.id(), SIGHUP);
+    EXPECT_NE(logged("not reloaded"), "");
+    EXPECT_EQ(client.ask("/read").status, 200);    // on the same connection
+    write(test::config_text(second.address()));
+    kill(program.id(), SIGHUP);
+    EXPECT_NE(logged("discovery moves"), "");
+    while (b.requests == 0) ASSERT_EQ(client.ask("/read").status, 200);
+    kill(program.id(), SIGTERM);
+    EXPECT_NE(logged("reloads: done=1 failed=1"), "");
+    EXPECT_EQ(program.wait(), 0);
+}
+
 TEST(Operations, MailFromStrangersIsDropped) {
     Discovery discovery("");
     Gateway gateway(discovery.address(), "");
