Count a spoilt answer as an error that may have run, not as a server that ended

Checked: a trace of Impl::eject showed 22 to 25 hard ejections at each gateway in 20 s, up to 6 of 9 servers out at once, each at a spoilt answer; the concurrency limit then fell to its least. A trace of the answers showed that the parser finds all of them (two lengths, length -1, no status, chunk sizes that are none, endless heads, 3 GB), and ends the attempt at the head.

At fault: ServerConnection::on_input reported Outcome::Reset for what it could not parse, which puts a server out of use as if its process had ended. Now it is Outcome::Error. With it: a 200 that comes before the request is wholly written is no answer to it; 1xx answers are bounded; nothing in a spoilt answer is read; load figures below zero or beyond all measure are left out; and a connection is used again after 0.2 ms only, since what a server sends beyond its answer comes right behind it.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -3,10 +3,16 @@
 #include <utility>
 
 namespace shaletray {
+namespace {
+
+constexpr int kMostInterim = 32;
+
+}    // namespace
 
 void ServerConnection::begin(std::string message) {
     message_ = std::move(message);
     began_ = false;
+    interim_ = 0;
     if (state_ == State::Idle) return write();
     state_ = State::Dialling;
     if (!stream_.dial(address_)) end(Outcome::ConnectFailed, false);
@@ -38,17 +44,19 @@
     if (state_ != State::Reading && state_ != State::Writing) return;
     http::Buffer& input = stream_.input();
     http::Status status = parser_.parse(input);
-    // Interim answers say nothing yet.
+    // Interim answers say nothing yet; but they must not go on for ever, nor lead to another protocol.
     while (status == http::Status::Done && parser_.status() < 200) {
+        if (++interim_ > kMostInterim || parser_.status() == 101) return end_spoilt();
         input.consume(parser_.size());
         parser_.reset();
         status = parser_.parse(input);
     }
     if (parser_.head_done() && parser_.status() == 200 && !std::exchange(began_, true))
         owner_.answer_began(*this);
-    // What cannot be understood is as good as a connection that broke after the request: it may have run.
-    if (status == http::Status::Bad) return end(Outcome::Reset, false);
+    if (status == http::Status::Bad) return end_spoilt();
     if (status == http::Status::More) return;
+    // A server begins once it has the whole request: what is good before that answers something else.
+    if (parser_.status() == 200 && state_ == State::Writing) return end_spoilt();
     const bool whole = state_ == State::Reading && input.size() == parser_.size();
     end(outcome_of(parser_, input), whole && parser_.keep_alive());
 }
@@ -68,6 +76,13 @@
     owner_.exchange_ended(*this, outcome, reusable);
 }
 
+// A spoilt answer is a failed attempt that may have run. It is no reset: its server goes on answering, and to
+// take one for a process that ended would put most of the fleet out of use when a few answers spoil.
+void ServerConnection::end_spoilt() {
+    spoilt_ = true;
+    end(Outcome::Error, false);
+}
+
 void ServerConnection::release() {
     stream_.input().consume(parser_.size());
     parser_.reset();
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -34,6 +34,8 @@
     const http::Parser& parser() const { return parser_; }
     const http::Buffer& input() const { return stream_.input(); }
     bool dialling() const { return state_ == State::Dialling; }
+    // What came is no answer: nothing in it counts.
+    bool spoilt() const { return spoilt_; }
     // Fit for another exchange: nothing stray has come in, and it has not been ended.
     bool fit() { return state_ == State::Idle && stream_.quiet(); }
 
@@ -52,6 +54,7 @@
     void on_broken() override;
     void write();
     void end(Outcome outcome, bool reusable);
+    void end_spoilt();
 
     ServerConnectionOwner& owner_;
     HostId host_;
@@ -60,7 +63,8 @@
     std::string message_;
     http::Parser parser_{http::Parser::Kind::Response};
     State state_ = State::New;
-    bool began_ = false;
+    bool began_ = false, spoilt_ = false;
+    int interim_ = 0;    // answers before the final one
 };
 
 }    // namespace shaletray
--- a/src/net/server_pool.cpp
+++ b/src/net/server_pool.cpp
@@ -5,7 +5,12 @@
 namespace shaletray {
 namespace {
 
-constexpr Duration kSweepEvery = std::chrono::seconds(1);
+using namespace std::chrono_literals;
+
+constexpr Duration kSweepEvery = 1s;
+// What a server sends beyond its answer comes right after it. On a connection used again sooner, that would
+// be read as the next request's answer.
+constexpr Duration kSettle = 200us;
 
 }    // namespace
 
@@ -29,13 +34,16 @@
         return nullptr;
     }
     // The most recently used first: the others may then grow old and be closed.
+    const TimePoint settled = reactor_.clock().now() - kSettle;
     std::vector<ServerConnection*>& idle = idle_[host];
-    while (!idle.empty()) {
-        ServerConnection* const connection = idle.back();
+    for (std::size_t at = idle.size(); at-- > 0;) {
+        ServerConnection* const connection = idle[at];
+        Entry& entry = connections_.at(connection);
+        if (entry.since > settled) continue;
         if (connection->fit() && connection->address() == known->address) {
-            idle.pop_back();
+            idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
             ++counters_.servers_reused;
-            return &connections_.at(connection);
+            return &entry;
         }
         drop(*connection);
     }
@@ -102,18 +110,20 @@
     const auto it = connections_.find(&connection);
     if (it == connections_.end()) return;
     Entry& entry = it->second;
-    const bool whole = outcome == Outcome::Ok || outcome == Outcome::Error || outcome == Outcome::Full;
+    const bool spoilt = connection.spoilt();
+    const bool whole =
+        !spoilt && (outcome == Outcome::Ok || outcome == Outcome::Error || outcome == Outcome::Full);
     LoadReport load;
     Payload answer;
-    if (whole) {
+    if (spoilt) {
+        ++counters_.bad_answers;
+        if (gate_.open()) log(LogLevel::Warning, "server {} spoilt an answer", connection.address());
+    } else if (whole) {
         load = report_of(connection.parser(), connection.input());
         if (outcome == Outcome::Ok && entry.attempt)
             answer = answer_of(connection.parser(), connection.input());
     } else if (outcome == Outcome::ConnectFailed) {
         ++counters_.servers_dial_failed;
-    } else if (connection.parser().fault() != http::Fault::None) {
-        ++counters_.bad_answers;
-        if (gate_.open()) log(LogLevel::Warning, "server {} answered what is no HTTP", connection.address());
     }
     const std::optional<AttemptId> attempt = entry.attempt;
     const HostId host = connection.host();
--- a/src/platform/messages.cpp
+++ b/src/platform/messages.cpp
@@ -13,6 +13,8 @@
                            kKey = "Idempotency-Key", kTerms = "X-Call-Terms", kLoad = "X-Backend-Load",
                            kUnprocessed = "X-Unprocessed", kType = "Content-Type";
 
+constexpr double kMostReported = 1e6;
+
 template <class Number>
 bool parse_number(std::string_view text, Number& value) {
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -106,7 +108,8 @@
     LoadReport report;
     each_pair(text, ',', [&](std::string_view name, std::string_view value) {
         double number = 0.0;
-        if (!parse_number(value, number) || !std::isfinite(number)) return;
+        // Nothing measured is below zero or beyond all measure: such a figure is no figure.
+        if (!parse_number(value, number) || !(number >= 0.0 && number <= kMostReported)) return;
         const auto known = kNames.find(name);
         report.emplace(known == kNames.end() ? name : known->second, number);
     });
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -97,6 +97,45 @@
     ~Server() { over = true; }
 };
 
+// Answers each request with the same bytes, whatever they are, and leaves the connection open.
+class RawServer {
+public:
+    explicit RawServer(std::string answer) : answer_(std::move(answer)) {
+        thread_ = std::thread([this] { serve(); });
+    }
+    ~RawServer() {
+        over_ = true;
+        thread_.join();
+    }
+    std::string address() const { return socket_.address().toString(); }
+    std::atomic<int> requests{0};
+
+private:
+    void serve() {
+        std::vector<Poco::Net::StreamSocket> open;
+        while (!over_) {
+            if (socket_.poll(Poco::Timespan(0, 1000), Poco::Net::Socket::SELECT_READ))
+                open.push_back(socket_.acceptConnection());
+            for (Poco::Net::StreamSocket& client : open) {
+                if (!client.poll(Poco::Timespan(0, 0), Poco::Net::Socket::SELECT_READ)) continue;
+                char bytes[4096];
+                try {
+                    if (client.receiveBytes(bytes, sizeof bytes) <= 0) continue;
+                    ++requests;
+                    client.sendBytes(answer_.data(), static_cast<int>(answer_.size()));
+                } catch (const Poco::Exception&) {
+                    // The gateway ended it, as it may.
+                }
+            }
+        }
+    }
+
+    std::string answer_;
+    Poco::Net::ServerSocket socket_{Poco::Net::SocketAddress("127.0.0.1", 0)};
+    std::atomic<bool> over_{false};
+    std::thread thread_;
+};
+
 // Gives its list once, then each line that is told, and an empty one now and then.
 class Discovery {
 public:
@@ -397,6 +436,38 @@
     EXPECT_EQ(counters.peer_taken, 0U);
 }
 
+// As resets they would put their server out of use at once, as if its process had ended.
+TEST(Operations, SpoiltAnswersAreErrorsAndTheirServerStaysInUse) {
+    std::string endless;
+    for (int i = 0; i < 40; ++i) endless += "HTTP/1.1 102 Processing\r\n\r\n";
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    for (const std::string& answer :
+         {std::string("\x01noise\r\n\r\n"), ok + "Content-Length: 3000000000\r\n\r\nabc",
+          ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+          endless + ok + "Content-Length: 2\r\n\r\nab", ok + "Pad: " + std::string(20'000, 'p')}) {
+        RawServer spoilt(answer);
+        Discovery discovery(member("a", spoilt.address()));
+        Gateway gateway(discovery.address(), member("a", spoilt.address()));
+        EXPECT_NE(Client(gateway).ask("/pay").status, 200);
+        const Counters& counters = gateway.end();
+        EXPECT_EQ(counters.outcomes[static_cast<std::size_t>(Outcome::Error)], 1U);
+        EXPECT_EQ(counters.bad_answers, 1U);
+        EXPECT_EQ(counters.probes, 0U);
+    }
+}
+
+// Whatever comes behind a good answer must not be taken for the next one.
+TEST(Operations, WhatComesBehindAGoodAnswerIsNotTakenForTheNextOne) {
+    const std::string good =
+        "HTTP/1.1 200 OK\r\nX-Backend-Load: x=y,=,recent_ms=-1\r\nContent-Length: 2\r\n\r\n";
+    RawServer server("HTTP/1.1 100 Continue\r\n\r\n" + good + "ab" + good + "cd");
+    Discovery discovery(member("a", server.address()));
+    Gateway gateway(discovery.address(), member("a", server.address()));
+    Client client(gateway);
+    for (int i = 0; i < 3; ++i) EXPECT_EQ(client.ask("/read").body, "ab");
+    EXPECT_EQ(gateway.end().servers_dialled, 3U);
+}
+
 TEST(Operations, BadInputIsAnsweredAndTheConnectionClosed) {
     Discovery discovery("");
     Gateway gateway(discovery.address(), "");
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -102,6 +102,7 @@
               (LoadReport{{"outstanding", 7}, {"utilization", 0.61}, {"recent_ms", 14.5}, {"new", 1}}));
     EXPECT_EQ(parse_load("inflight=x,util=nan,queue=2"), (LoadReport{{"backlog", 2}}));
     EXPECT_EQ(parse_load("nonsense"), LoadReport{});
+    EXPECT_EQ(parse_load("inflight=-3,util=1e300,queue=2"), (LoadReport{{"backlog", 2}}));
 }
 
 TEST(Answers, OutcomesFollowTheProtocolsTable) {
