Give silent and half-spoken clients two seconds, and refuse what no client may ask

Of the bad ones, units beyond specifics.mostUnits and customer numbers of 2^33 and more had been passed on; they drew on usual customers' stores and came back as errors that counted against the servers. Ruled out: the module (nothing of it changed), CPU (2% of a core).

At fault: parse_terms and parse_customer took any finite units and any 64-bit number, and the last of what is given twice; read_request took the first of repeated headers; ClientConnection waited 300 s for a silent client and 15 s for half a request; Listener::make_room searched all clients for the one idle longest, often a usual client's.

Now the terms are bounded by the settings, what may come once and comes twice is a 400, the id of an open request a 409. A client has two seconds to get a request across (then 408, or a close where it said nothing). Connections without a request stand in an ordered set by how readily they are given up, and new ones are taken sixteen at a time. With it: kept connections end when the list has another address or start for their server, a gone server leaves nothing in the pool, Engine::take gives advice when it is full, and a watch that is silent for 3 s is begun anew.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -21,6 +21,7 @@
     : module_(settings, seed),
       most_open_(static_cast<std::size_t>(std::max(1, settings.max_open))),
       most_attempts_(static_cast<std::size_t>(std::max(0, settings.send_cap))),
+      most_advice_(settings.max_retry_after),
       clock_(clock),
       timers_(timers),
       counters_(counters) {}
@@ -49,7 +50,7 @@
     ++counters_.taken;
     if (requests_.size() >= most_open_) {
         ++counters_.turned_away;
-        front.refused(Duration(0));
+        front.refused(most_advice_);    // all of what may be asked: nothing says when there is room again
         return RequestId{};
     }
     RequestId id{++last_request_};
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -136,6 +136,7 @@
     valehall::Gateway module_;
     std::size_t most_open_;
     std::size_t most_attempts_;
+    Duration most_advice_;
     const Clock& clock_;
     Timers& timers_;
     Counters& counters_;
--- a/src/http/buffer.cpp
+++ b/src/http/buffer.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // What a large message needed is given back once it is done, so that idle connections stay small.
-constexpr std::size_t kKept = 16 * 1024;
+constexpr std::size_t kKept = 4 * 1024;
 
 }    // namespace
 
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -266,6 +266,11 @@
     return {};
 }
 
+std::size_t Parser::count(const Buffer& b, std::string_view name) const {
+    return static_cast<std::size_t>(std::count_if(
+        headers_.begin(), headers_.end(), [&](const Header& h) { return same_name(view(b, h.name), name); }));
+}
+
 void Parser::drop_body(Buffer& buffer, std::size_t count) {
     buffer.cut(head_, count);
     body_ -= count;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -65,6 +65,7 @@
     int status() const { return status_; }
     // The first of this name; empty where there is none.
     std::string_view header(const Buffer& b, std::string_view name) const;
+    std::size_t count(const Buffer& b, std::string_view name) const;
     std::string_view body(const Buffer& b) const { return b.unread().substr(head_, body_); }
     bool keep_alive() const { return keep_alive_; }
     bool expects_continue() const { return expects_continue_; }
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -7,11 +7,15 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kIdle = 300s;    // a client that asks nothing
-constexpr Duration kSlow = 15s;     // a request, or an answer, that does not get on
-constexpr Duration kSlowAtStop = 2s;
+// From connecting, or from a request's first byte, until the request is whole.
+constexpr Duration kToAsk = 2s;
+constexpr Duration kIdleOnce = 3s;           // a client that has asked one thing and nothing since
+constexpr Duration kIdle = 60s;              // one that has asked more
+constexpr Duration kStuck = 15s;             // an answer that is not taken
 constexpr Duration kLinger = 1s;             // for a client to read an answer before the connection is cut
 constexpr std::size_t kAhead = 96 * 1024;    // what a client may send ahead of its answer
+// What is read and thrown away behind the last answer. A body of many MB is not worth its reading.
+constexpr std::size_t kMostDiscarded = 256 * 1024;
 
 }    // namespace
 
@@ -20,17 +24,52 @@
     stream_.adopt(socket);
     ++context_.counters.clients_accepted;
     ++context_.counters.clients_open;
+    take_place();
 }
 
-ClientConnection::~ClientConnection() { --context_.counters.clients_open; }
+ClientConnection::~ClientConnection() {
+    enter(State::Closed);    // nothing here may be found by those that stay
+    release_id();
+    --context_.counters.clients_open;
+}
+
+// The one place where the state changes, and with it the connection's place among the spare ones.
+void ClientConnection::enter(State state) {
+    state_ = state;
+    since_ = context_.reactor.clock().now();
+    take_place();
+}
+
+void ClientConnection::take_place() {
+    const std::pair<Spare, TimePoint> place{spare(), since_};
+    if (place == place_) return;
+    if (place_.first != Spare::No) context_.spare.erase({place_.first, place_.second, this});
+    place_ = place;
+    if (place_.first != Spare::No) context_.spare.insert({place_.first, place_.second, this});
+}
+
+Spare ClientConnection::spare() const {
+    if (state_ == State::Lingering) return Spare::Answered;
+    if (state_ != State::Reading) return Spare::No;
+    return asked_ == 0 ? Spare::Silent : asked_ == 1 ? Spare::AskedOnce : Spare::Kept;
+}
+
+void ClientConnection::release_id() {
+    if (id_.empty()) return;
+    context_.open_ids.erase(id_);
+    id_.clear();
+}
 
 void ClientConnection::on_input() {
     if (state_ == State::Lingering) {
+        discarded_ += stream_.input().size();
         stream_.input().consume(stream_.input().size());
+        if (discarded_ > kMostDiscarded) stream_.read_on(false);
         return;
     }
-    // From a request's first byte on: one that trickles in must not begin its time anew with every byte.
-    if (state_ == State::Reading && !std::exchange(begun_, true)) since_ = context_.reactor.clock().now();
+    // From a request's first byte on: one that trickles in must not begin its time anew with every byte. The
+    // first request's time began with the connection.
+    if (state_ == State::Reading && !std::exchange(begun_, true) && asked_ > 0) enter(State::Reading);
     process();
     if (state_ != State::Reading && stream_.input().size() > kAhead) stream_.read_on(false);
 }
@@ -58,7 +97,7 @@
 void ClientConnection::take_request() {
     http::Buffer& input = stream_.input();
     keep_alive_ = parser_.keep_alive();
-    since_ = context_.reactor.clock().now();
+    ++asked_;
     if (asks_ready(parser_, input)) {
         input.consume(parser_.size());
         parser_.reset();
@@ -68,10 +107,13 @@
     }
     auto request = read_request(parser_, input, context_.config);
     if (const auto* rejection = std::get_if<Rejection>(&request)) return reject(*rejection);
+    const auto [open_id, is_new] = context_.open_ids.emplace(correlation_id(parser_, input));
+    if (!is_new) return reject({409, "this id is that of an open request"});
+    id_ = *open_id;
     input.consume(parser_.size());
     parser_.reset();
     continued_ = false;
-    state_ = State::Waiting;
+    enter(State::Waiting);
     request_ = RequestId{};
     const RequestId id = context_.engine.take(*this, std::move(std::get<Arrival>(request)));
     if (state_ == State::Waiting) request_ = id;
@@ -90,8 +132,8 @@
     if (state_ == State::Closed) return;
     ++context_.counters.answered[status];
     if (context_.stopping) keep_alive_ = false;
-    state_ = State::Writing;
-    since_ = context_.reactor.clock().now();
+    release_id();
+    enter(State::Writing);
     if (!stream_.send(write_answer(status, headers, body, keep_alive_))) return close();
     if (stream_.sent_all()) answered();
 }
@@ -101,16 +143,15 @@
 }
 
 void ClientConnection::answered() {
-    since_ = context_.reactor.clock().now();
     if (!keep_alive_) {
         // Closing over bytes that were not read resets the connection, and the client may lose the answer.
-        state_ = State::Lingering;
+        enter(State::Lingering);
         stream_.end_sending();
         stream_.input().consume(stream_.input().size());
         stream_.read_on(true);
         return;
     }
-    state_ = State::Reading;
+    enter(State::Reading);
     begun_ = !stream_.input().empty();
     stream_.read_on(true);
     process();
@@ -123,20 +164,34 @@
     if (idle()) close();
 }
 
+bool ClientConnection::make_room() {
+    if (state_ == State::Reading) stream_.read_now();
+    if (state_ != State::Reading && state_ != State::Lingering) return state_ == State::Closed;
+    close();
+    return true;
+}
+
+// How long the connection may stay as it is. A client that says nothing, or half a request, must not hold a
+// descriptor for long: clients that do are many at times.
+Duration ClientConnection::patience() const {
+    if (state_ == State::Lingering) return kLinger;
+    if (state_ == State::Writing) return kStuck;
+    if (asked_ == 0 || begun_) return kToAsk;
+    return asked_ == 1 ? kIdleOnce : kIdle;
+}
+
 void ClientConnection::sweep(TimePoint now) {
-    const Duration stood = now - since_;
-    // At a stop, half a request is not waited for as long: it may keep the gateway from ending.
-    const Duration slow = context_.stopping ? kSlowAtStop : kSlow;
-    const bool over = state_ == State::Lingering ? stood > kLinger
-                      : idle()                   ? stood > kIdle
-                                                 : state_ != State::Waiting && stood > slow;
-    if (over) close();
+    if (state_ == State::Waiting || now - since_ <= patience()) return;
+    if (idle()) return close_if_idle();
+    if (state_ == State::Reading) return reject({408, "the request did not come whole in time"});
+    close();
 }
 
 void ClientConnection::close() {
     if (state_ == State::Closed) return;
     const bool waiting = state_ == State::Waiting;
-    state_ = State::Closed;
+    enter(State::Closed);
+    release_id();
     stream_.close();
     if (waiting) context_.engine.withdraw(request_);
     context_.closed(*this);
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -1,7 +1,12 @@
 // One client's connection: a request in, its answer out, then the next.
 #pragma once
 
-#include <memory>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_set>
+#include <utility>
 
 #include "core/engine.h"
 #include "net/stream.h"
@@ -12,6 +17,9 @@
 
 class ClientConnection;
 
+// How readily a connection is given up when room is wanted: the first of these goes first.
+enum class Spare { Answered, Silent, AskedOnce, Kept, No };
+
 // What the connections of one listener share.
 struct ClientContext {
     Engine& engine;
@@ -21,6 +29,11 @@
     std::function<bool()> ready;
     std::function<void(ClientConnection&)> closed;    // gives the connection up, to be destroyed later
     bool stopping = false;
+    // Connections that carry no request, the longest standing first in each kind. A connection keeps its own
+    // place up to date.
+    std::set<std::tuple<Spare, TimePoint, ClientConnection*>> spare{};
+    // Of the requests that are open: one under another's id could be taken for a copy of it by a server.
+    std::unordered_set<std::string> open_ids{};
 };
 
 class ClientConnection : public Retired, private Front, private StreamOwner {
@@ -29,9 +42,10 @@
     ~ClientConnection() override;
 
     bool idle() const { return state_ == State::Reading && stream_.input().empty(); }
-    TimePoint since() const { return since_; }
     // Closes it where it only waits; what a client has sent meanwhile is read first.
     void close_if_idle();
+    // Closes it for a new client, unless it is found to carry a request after all. False where it stays.
+    bool make_room();
     // Closes a connection that stood still for too long.
     void sweep(TimePoint now);
 
@@ -51,12 +65,21 @@
     void answer(int status, std::string_view headers, std::string_view body);
     void answered();
     void close();
+    void enter(State state);
+    Spare spare() const;
+    void take_place();
+    Duration patience() const;
+    void release_id();
 
     ClientContext& context_;
     Stream stream_;
     http::Parser parser_{http::Parser::Kind::Request};
     State state_ = State::Reading;
     RequestId request_{};
+    std::string id_;               // of the request that is open
+    std::uint64_t asked_ = 0;      // whole requests
+    std::size_t discarded_ = 0;    // bytes behind the last answer
+    std::pair<Spare, TimePoint> place_{Spare::No, {}};
     bool keep_alive_ = true, continued_ = false, processing_ = false;
     bool begun_ = false;    // some of a request is here
     TimePoint since_;       // when the state last changed, or the request began
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -8,8 +8,9 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kFirstBackoff = 50ms, kLongestBackoff = 1s;
-// An empty line comes every two seconds. Three without one: the connection may be gone without a word.
-constexpr Duration kSilence = 6500ms;
+// An empty line comes every two seconds. Without one the connection may be gone without a word, and what
+// would have come on it counts as told six seconds later all the same.
+constexpr Duration kSilence = 3s;
 constexpr std::size_t kLongestLine = 8 * 1024 * 1024;
 
 // A stream of a watch that was given up, until nothing of it is on the call stack.
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -10,14 +10,19 @@
 using namespace std::chrono_literals;
 
 constexpr int kBacklog = 512;
-constexpr Duration kSweepEvery = 500ms;
-constexpr Duration kAcceptPause = 50ms;    // out of descriptors: the backlog waits
+constexpr Duration kSweepEvery = 250ms;
+constexpr Duration kAcceptPause = 20ms;    // out of descriptors: the backlog waits
+constexpr int kMostAtOnce = 16;            // new connections in one go, so that a flood keeps no one waiting
+// What stands for less is not closed to make room: an answer may not be read yet, a request may be under way,
+// and who is promised a kept connection has it for two seconds.
+constexpr Duration kYoungAnswered = 100ms, kYoungSilent = 20ms, kYoungKept = 2s;
 
 }    // namespace
 
 Listener::Listener(Engine& engine, const Config& config, Counters& counters, Reactor& reactor,
                    std::size_t most_clients, std::function<bool()> ready)
-    : context_{engine, config, counters, reactor, std::move(ready), {}, false}, most_clients_(most_clients) {
+    : context_{engine, config, counters, reactor, std::move(ready), {}, false, {}, {}},
+      most_clients_(most_clients) {
     context_.closed = [this](ClientConnection& client) {
         const auto it = clients_.find(&client);
         if (it == clients_.end()) return;
@@ -50,17 +55,18 @@
 }
 
 void Listener::on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {
-    if (open_ && accepting_) accept();
+    for (int i = 0; i < kMostAtOnce && open_ && accepting_; ++i) {
+        if (!accept()) break;
+    }
     context_.reactor.reckon_timeout();
 }
 
 // False where there was nothing more to accept.
 bool Listener::accept() {
-    if (clients_.size() >= most_clients_) make_room();
-    if (clients_.size() >= most_clients_) {
-        // The budget of descriptors is spent: clients wait in the backlog until one leaves.
+    if (clients_.size() >= most_clients_ && !make_room()) {
+        // The budget of descriptors is spent: clients wait in the backlog until one leaves, or may be closed.
         ++context_.counters.clients_rejected;
-        accept_on(false);
+        pause_accepting(kAcceptPause);
         return false;
     }
     try {
@@ -73,24 +79,38 @@
         // Out of descriptors, above all: the listener stays readable, and trying on would spin.
         if (gate_.open()) log(LogLevel::Warning, "cannot accept: {}", error.displayText());
         make_room();
-        accept_on(false);
-        if (pause_timer_ == 0) {
-            pause_timer_ = context_.reactor.after(kAcceptPause, [this] {
-                pause_timer_ = 0;
-                accept_on(true);
-            });
-        }
+        pause_accepting(kAcceptPause);
         return false;
     }
 }
 
-// The client that has asked nothing for longest makes room for a new one.
-void Listener::make_room() {
-    ClientConnection* oldest = nullptr;
-    for (const auto& [key, client] : clients_) {
-        if (client->idle() && (oldest == nullptr || client->since() < oldest->since())) oldest = key;
+void Listener::pause_accepting(Duration wait) {
+    accept_on(false);
+    if (pause_timer_ != 0) return;
+    pause_timer_ = context_.reactor.after(wait, [this] {
+        pause_timer_ = 0;
+        accept_on(true);
+    });
+}
+
+// Closes a connection that carries no request: first those that were answered for good, then those that never
+// asked, then those that asked once, and a usual client's last. What is too young stays.
+bool Listener::make_room() {
+    const TimePoint now = context_.reactor.clock().now();
+    const std::pair<Spare, Duration> kinds[] = {{Spare::Answered, kYoungAnswered},
+                                                {Spare::Silent, kYoungSilent},
+                                                {Spare::AskedOnce, Duration(0)},
+                                                {Spare::Kept, kYoungKept}};
+    for (const auto& [kind, young] : kinds) {
+        // One that turns out to carry a request leaves the set, so this ends.
+        while (true) {
+            const auto it = context_.spare.lower_bound({kind, TimePoint::min(), nullptr});
+            if (it == context_.spare.end() || std::get<0>(*it) != kind || now - std::get<1>(*it) < young)
+                break;
+            if (std::get<2>(*it)->make_room()) return true;
+        }
     }
-    if (oldest != nullptr) oldest->close_if_idle();
+    return false;
 }
 
 void Listener::sweep() {
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -33,7 +33,8 @@
     void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>& event);
     bool accept();
     void accept_on(bool wanted);
-    void make_room();
+    bool make_room();
+    void pause_accepting(Duration wait);
     void sweep();
 
     ClientContext context_;
--- a/src/net/server_pool.cpp
+++ b/src/net/server_pool.cpp
@@ -27,6 +27,12 @@
     reactor_.reap();
 }
 
+// An address may pass on to another server, and a server's process may be another one after a restart.
+bool ServerPool::current(const ServerConnection& connection, const Entry& entry) const {
+    const HostDirectory::Host* const known = hosts_.find(connection.host());
+    return known != nullptr && known->address == connection.address() && known->born == entry.born;
+}
+
 ServerPool::Entry* ServerPool::acquire(HostId host, Outcome& why_not) {
     const HostDirectory::Host* const known = hosts_.find(host);
     if (known == nullptr || !hosts_.may_begin(host, reactor_.clock().now())) {
@@ -40,7 +46,7 @@
         ServerConnection* const connection = idle[at];
         Entry& entry = connections_.at(connection);
         if (entry.since > settled) continue;
-        if (connection->fit() && connection->address() == known->address) {
+        if (connection->fit() && current(*connection, entry)) {
             idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
             ++counters_.servers_reused;
             return &entry;
@@ -59,6 +65,7 @@
     ServerConnection* const at = connection.get();
     Entry& entry = connections_[at];
     entry.connection = std::move(connection);
+    entry.born = known->born;
     return &entry;
 }
 
@@ -129,7 +136,7 @@
     const HostId host = connection.host();
     const TimePoint now = reactor_.clock().now();
     const Duration took = now - entry.since;
-    if (reusable) {
+    if (reusable && current(connection, entry)) {
         connection.release();
         if (attempt) attempts_.erase(key(*attempt));
         reactor_.cancel(entry.limit);
@@ -181,12 +188,15 @@
 void ServerPool::list_changed() {
     std::vector<ServerConnection*> stale;
     for (const auto& [host, idle] : idle_) {
-        const HostDirectory::Host* const known = hosts_.find(host);
         for (ServerConnection* connection : idle) {
-            if (known == nullptr || known->address != connection->address()) stale.push_back(connection);
+            if (!current(*connection, connections_.at(connection))) stale.push_back(connection);
         }
     }
     for (ServerConnection* connection : stale) drop(*connection);
+    // Servers come and go all day: nothing may stay of those that went.
+    std::erase_if(idle_, [this](const auto& item) {
+        return item.second.empty() && hosts_.find(item.first) == nullptr;
+    });
 }
 
 void ServerPool::sweep() {
--- a/src/net/server_pool.h
+++ b/src/net/server_pool.h
@@ -38,6 +38,7 @@
         std::unique_ptr<ServerConnection> connection;
         std::optional<AttemptId> attempt;    // none: a probe, or kept for reuse
         TimePoint since{};                   // busy or idle
+        TimePoint born{};                    // the start of the server's process when it was dialled
         Timers::Id limit = 0;
     };
     static std::uint64_t key(AttemptId attempt) {
@@ -49,6 +50,8 @@
     void exchange_ended(ServerConnection& connection, Outcome outcome, bool reusable) override;
     void idle_broken(ServerConnection& connection) override;
 
+    // Whether it still leads to the process that the list has there now.
+    bool current(const ServerConnection& connection, const Entry& entry) const;
     // A connection to the host, kept or new; none, and why, where there can be none.
     Entry* acquire(HostId host, Outcome& why_not);
     void report(const std::optional<AttemptId>& attempt, HostId host, Outcome outcome, Duration took,
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -8,7 +8,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kOwnDescriptors = 32;    // listener, discovery, peers, epoll, standard streams, spare
-constexpr double kClientShare = 0.6;           // of the others
+constexpr double kClientShare = 0.7;           // of the others
 constexpr Duration kAcceptOn = 700ms;          // after the order to stop, for clients that do not know yet
 // The process is ended by force the longest deadline plus 0.7 s after that order.
 constexpr Duration kShortestGrace = 3s, kEndBefore = 100ms;
--- a/src/platform/member_list.cpp
+++ b/src/platform/member_list.cpp
@@ -130,6 +130,7 @@
         if (member.entry.state == HostState::Healthy) host.left = TimePoint{};
         else if (host.left == TimePoint{}) host.left = now;
         host.state = member.entry.state;
+        host.born = member.entry.born;
         result.hosts.push_back(member.entry);
         result.hosts.back().host = number;
     }
--- a/src/platform/member_list.h
+++ b/src/platform/member_list.h
@@ -43,6 +43,7 @@
         std::string id, address;
         valehall::HostState state = valehall::HostState::Healthy;
         TimePoint left{};    // since when it is not healthy
+        TimePoint born{};    // its process's start, as listed
     };
     // Takes the list in, and gives it as the module reads it.
     valehall::HostList apply(const MemberList& list, valehall::ListKind kind, TimePoint now);
--- a/src/platform/messages.cpp
+++ b/src/platform/messages.cpp
@@ -11,9 +11,12 @@
 
 constexpr std::string_view kId = "X-Correlation-Id", kPlan = "X-Tier", kTimeLeft = "X-Time-Left",
                            kKey = "Idempotency-Key", kTerms = "X-Call-Terms", kLoad = "X-Backend-Load",
-                           kUnprocessed = "X-Unprocessed", kType = "Content-Type";
+                           kUnprocessed = "X-Unprocessed", kType = "Content-Type", kCookie = "Cookie",
+                           kHost = "Host";
 
 constexpr double kMostReported = 1e6;
+constexpr std::uint64_t kCustomers = 1ULL << 33;
+constexpr std::size_t kLongestId = 256;
 
 template <class Number>
 bool parse_number(std::string_view text, Number& value) {
@@ -37,26 +40,34 @@
 
 bool parse_customer(std::string_view cookie, valehall::CustomerId& customer) {
     std::string_view value;
+    int named = 0;
     each_pair(cookie, ';', [&](std::string_view name, std::string_view v) {
-        if (name == "customer") value = v;
+        if (name != "customer") return;
+        value = v;
+        ++named;
     });
+    if (named != 1) return false;
     std::uint64_t number = 0;
     const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), number, 16);
     if (value.size() != 16 || error != std::errc{} || end != value.data() + value.size()) return false;
+    if (number >= kCustomers) return false;
     customer = valehall::CustomerId{number};
     return true;
 }
 
-bool parse_terms(std::string_view text, int gateways, Arrival& arrival) {
-    bool units = false, spread = false, first = false;
+// What no request can draw, or no set be, is refused here: in the module it would move a customer's store.
+bool parse_terms(std::string_view text, const valehall::Settings& settings, Arrival& arrival) {
+    int units = 0, spread = 0, first = 0;    // how often each was given; once is right
+    constexpr int kUnread = 2;
     const bool pairs = each_pair(text, ',', [&](std::string_view name, std::string_view value) {
-        if (name == "units") units = parse_number(value, arrival.units);
-        else if (name == "spread") spread = parse_number(value, arrival.width);
-        else if (name == "first") first = parse_number(value, arrival.first_gateway);
+        if (name == "units") units += parse_number(value, arrival.units) ? 1 : kUnread;
+        else if (name == "spread") spread += parse_number(value, arrival.width) ? 1 : kUnread;
+        else if (name == "first") first += parse_number(value, arrival.first_gateway) ? 1 : kUnread;
     });
-    return pairs && units && spread && first && std::isfinite(arrival.units) && arrival.units > 0.0 &&
-           arrival.width >= 1 && arrival.width <= gateways && arrival.first_gateway >= 0 &&
-           arrival.first_gateway < gateways;
+    return pairs && units == 1 && spread == 1 && first == 1 && arrival.units > 0.0 &&
+           arrival.units <= std::max(1.0, settings.most_units) && arrival.width >= 1 &&
+           arrival.width <= settings.gateways && arrival.first_gateway >= 0 &&
+           arrival.first_gateway < settings.gateways;
 }
 
 template <class Items>
@@ -79,6 +90,7 @@
         case 404: return "Not Found";
         case 405: return "Method Not Allowed";
         case 408: return "Request Timeout";
+        case 409: return "Conflict";
         case 413: return "Content Too Large";
         case 429: return "Too Many Requests";
         case 431: return "Request Header Fields Too Large";
@@ -133,14 +145,19 @@
     if (method != (safe ? "GET" : "POST")) return Rejection{405, "this class takes another method"};
     arrival.streams = config.streams[static_cast<std::size_t>(arrival.class_index)];
 
-    const std::string_view id = parser.header(buffer, kId), key = parser.header(buffer, kKey);
-    if (id.empty()) return Rejection{400, "no correlation id"};
+    // Given twice, another reader might go by the other one.
+    for (const std::string_view name : {kId, kKey, kPlan, kTerms, kTimeLeft, kCookie, kHost}) {
+        if (parser.count(buffer, name) > 1) return Rejection{400, "a header that may come once came twice"};
+    }
+    const std::string_view id = correlation_id(parser, buffer), key = parser.header(buffer, kKey);
+    if (id.empty() || id.size() > kLongestId) return Rejection{400, "no correlation id, or too long a one"};
+    if (safe && !parser.body(buffer).empty()) return Rejection{400, "this class takes no body"};
     if (cls.repeat == valehall::Repeat::Keyed && key.empty()) return Rejection{400, "no idempotency key"};
     arrival.plan_index = place_of(config.settings.plans, parser.header(buffer, kPlan));
     if (arrival.plan_index < 0) return Rejection{400, "unknown plan"};
-    if (!parse_customer(parser.header(buffer, "Cookie"), arrival.customer))
+    if (!parse_customer(parser.header(buffer, kCookie), arrival.customer))
         return Rejection{400, "no customer, or a malformed one"};
-    if (!parse_terms(parser.header(buffer, kTerms), config.settings.gateways, arrival))
+    if (!parse_terms(parser.header(buffer, kTerms), config.settings, arrival))
         return Rejection{400, "malformed call terms"};
     arrival.budget = cls.give_up;
     if (const std::string_view left = parser.header(buffer, kTimeLeft);
@@ -155,7 +172,7 @@
     const auto add = [&](std::string_view name, std::string_view value) {
         if (!value.empty()) head.append(name).append(": ").append(value).append("\r\n");
     };
-    add("Host", parser.header(buffer, "Host"));
+    add(kHost, parser.header(buffer, kHost));
     add(kId, id);
     add(kKey, key);
     add(kType, parser.header(buffer, kType));
@@ -165,6 +182,10 @@
     return arrival;
 }
 
+std::string_view correlation_id(const http::Parser& parser, const http::Buffer& buffer) {
+    return parser.header(buffer, kId);
+}
+
 Rejection rejection_of(http::Fault fault) {
     switch (fault) {
         case http::Fault::HeadTooLarge: return {431, "headers too large"};
--- a/src/platform/messages.h
+++ b/src/platform/messages.h
@@ -20,6 +20,7 @@
 std::variant<Arrival, Rejection> read_request(const http::Parser& parser, const http::Buffer& buffer,
                                               const Config& config);
 Rejection rejection_of(http::Fault fault);
+std::string_view correlation_id(const http::Parser& parser, const http::Buffer& buffer);
 bool asks_ready(const http::Parser& parser, const http::Buffer& buffer);
 
 // "480m" or "480000u"; nothing below zero.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -254,6 +254,26 @@
     int asked_ = 0;
 };
 
+// A client of few words: sends a text, and reads until the gateway ends the connection.
+class Talk {
+public:
+    Talk(const Gateway& gateway, const std::string& text)
+        : socket_(Poco::Net::SocketAddress(gateway.address())) {
+        socket_.setReceiveTimeout(Poco::Timespan(30, 0));
+        if (!text.empty()) socket_.sendBytes(text.data(), static_cast<int>(text.size()));
+    }
+    std::string rest() const {
+        std::string answer;
+        char bytes[512];
+        Poco::Net::StreamSocket socket = socket_;    // a handle of the same
+        for (int n; (n = socket.receiveBytes(bytes, sizeof bytes)) > 0;) answer.append(bytes, bytes + n);
+        return answer;
+    }
+
+private:
+    Poco::Net::StreamSocket socket_;
+};
+
 std::string two(const Server& a, const Server& b) {
     return member("a", a.stub.address()) + "," + member("b", b.stub.address());
 }
@@ -468,6 +488,46 @@
     EXPECT_EQ(gateway.end().servers_dialled, 3U);
 }
 
+// They hold a descriptor each, and there may be hundreds of them.
+TEST(Operations, ClientsThatSayNothingOrHalfARequestAreNotWaitedForLong) {
+    Discovery discovery("");
+    Gateway gateway(discovery.address(), "");
+    const auto start = std::chrono::steady_clock::now();
+    const Talk silent(gateway, ""), half(gateway, "GET /read HTTP/1.1\r\nHost:");
+    EXPECT_EQ(silent.rest(), "");
+    EXPECT_TRUE(half.rest().starts_with("HTTP/1.1 408 "));
+    // Far from both the two seconds that it should take and the minutes that idle clients may stay.
+    EXPECT_LT(std::chrono::steady_clock::now() - start, 20s);
+}
+
+TEST(Operations, AUsualClientStaysWhileSilentOnesFillTheDescriptors) {
+    Server server;
+    Discovery discovery(member("a", server.stub.address()));
+    Gateway gateway(discovery.address(), member("a", server.stub.address()));
+    Client usual(gateway);
+    for (int i = 0; i < 2; ++i) EXPECT_EQ(usual.ask("/read").status, 200);
+    std::vector<std::unique_ptr<Talk>> silent;    // more than there is room for
+    for (int i = 0; i < 200; ++i) silent.push_back(std::make_unique<Talk>(gateway, ""));
+    EXPECT_EQ(Client(gateway).ask("/read").status, 200);
+    EXPECT_EQ(usual.ask("/read").status, 200);
+    EXPECT_EQ(gateway.end().clients_accepted, 202U);    // it did not have to come again
+}
+
+// A server could take the second for a copy of the first.
+TEST(Operations, AnIdIsNotSentOnASecondTimeWhileItsRequestIsOpen) {
+    Server slow(Server::Mode::Slow);
+    Discovery discovery(member("a", slow.stub.address()));
+    Gateway gateway(discovery.address(), member("a", slow.stub.address()));
+    const std::string ask =
+        "GET /read HTTP/1.1\r\nX-Correlation-Id: 9b\r\nX-Tier: open\r\nCookie: customer=00000000b4d65521\r\n"
+        "X-Call-Terms: units=2,spread=1,first=0\r\nConnection: close\r\n\r\n";
+    const Talk first(gateway, ask);
+    while (slow.requests == 0) std::this_thread::sleep_for(1ms);
+    EXPECT_TRUE(Talk(gateway, ask).rest().starts_with("HTTP/1.1 409 "));
+    EXPECT_TRUE(first.rest().starts_with("HTTP/1.1 200 "));
+    EXPECT_TRUE(Talk(gateway, ask).rest().starts_with("HTTP/1.1 200 "));    // it is free again
+}
+
 TEST(Operations, BadInputIsAnsweredAndTheConnectionClosed) {
     Discovery discovery("");
     Gateway gateway(discovery.address(), "");
@@ -479,12 +539,7 @@
                  {"GET /read HTTP/1.1\r\nA: " + std::string(20'000, 'x'), "HTTP/1.1 431 "},
                  {"GET /health/ready HTTP/1.0\r\n\r\n", "HTTP/1.1 503 "}};
     for (const auto& c : cases) {
-        Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(gateway.address())};
-        socket.setReceiveTimeout(Poco::Timespan(20, 0));
-        socket.sendBytes(c.text.data(), static_cast<int>(c.text.size()));
-        std::string answer;
-        char bytes[512];
-        for (int n; (n = socket.receiveBytes(bytes, sizeof bytes)) > 0;) answer.append(bytes, bytes + n);
+        const std::string answer = Talk(gateway, c.text).rest();
         EXPECT_TRUE(answer.starts_with(c.start)) << answer;
         EXPECT_NE(answer.find("Connection: close"), std::string::npos);
     }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -23,7 +23,7 @@
 int status_of(const std::string& start, const std::string& headers, Arrival* arrival = nullptr) {
     http::Parser parser(http::Parser::Kind::Request);
     http::Buffer buffer;
-    buffer.append(start + " HTTP/1.1\r\n" + headers + "\r\n");
+    buffer.append(start + " HTTP/1.1\r\n" + headers + "\r\nab");
     if (parser.parse(buffer) != http::Status::Done) return -1;
     auto read = read_request(parser, buffer, site());
     if (const auto* rejection = std::get_if<Rejection>(&read)) return rejection->status;
@@ -47,6 +47,7 @@
         {"POST /submit", all + "Idempotency-Key: k\r\n", 0},
         {"POST /submit", all, 400},
         {"POST /pay", all, 0},
+        {"GET /read", all + "Content-Length: 2\r\n", 400},
         {"POST /read", all, 405},
         {"GET /submit", all, 405},
         {"GET /other", all, 404},
@@ -60,7 +61,19 @@
         {"GET /read", kId + kPlan + kCookie + "X-Call-Terms: units=2,spread=1\r\n", 400},
         {"GET /read", kId + kPlan + kCookie + "X-Call-Terms: units=0,spread=1,first=0\r\n", 400},
         {"GET /read", kId + kPlan + kCookie + "X-Call-Terms: units=nan,spread=1,first=0\r\n", 400},
+        {"GET /read", kId + kPlan + kCookie + "X-Call-Terms: units=1e9,spread=1,first=0\r\n", 400},
+        {"GET /read", kId + kPlan + kCookie + "X-Call-Terms: units=-2,spread=1,first=0\r\n", 400},
+        {"GET /read", kId + kPlan + kCookie + "X-Call-Terms: units=1,spread=1,first=0,units=2\r\n", 400},
+        {"GET /read", kId + kPlan + kCookie + "X-Call-Terms: units=x,units=2,spread=1,first=0\r\n", 400},
         {"GET /read", kId + kPlan + kCookie + "X-Call-Terms: units=2,spread=2,first=0\r\n", 400},
+        {"GET /read", kId + kPlan + "Cookie: customer=0000000200000000\r\n" + kTerms, 400},
+        {"GET /read", kId + kPlan + "Cookie: customer=00000001ffffffff\r\n" + kTerms, 0},
+        {"GET /read",
+         kId + kPlan + "Cookie: customer=0000000000000001; customer=0000000000000002\r\n" + kTerms, 400},
+        {"GET /read", all + kId, 400},
+        {"GET /read", all + "x-tier: open\r\n", 400},
+        {"GET /read", all + "X-Time-Left: 1m\r\n", 400},
+        {"GET /read", "X-Correlation-Id: " + std::string(300, 'x') + "\r\n" + kPlan + kCookie + kTerms, 400},
         {"GET /read", kId + kPlan + kCookie + "X-Call-Terms: units=2,spread=1,first=1\r\n", 400},
         {"GET /read", kId + kPlan + kCookie + kTerms + "X-Time-Left: 480\r\n", 400},
     };
