Keep servers in use whose connections break now and then

Checked: a trace of ejections, refusals and outcomes. Resets came within a millisecond, 10% of them at any age of the kept connection and 40% above 0.2 s of standing idle: the servers cut kept connections. Ruled out: quotas (the store held the units in two thirds of the refusals) and descriptors.

At fault: Impl::finished, the branch of ConnectFailed and Reset. Now a server is held to have ended after four resets or two failed connects with no word from it between; after a failed connect it is avoided for 0.2 s. A process that dies still shows at its next two connects.

With it: the test of a broken watch waits for the watch it breaks; it failed 11 of 48 times when run beside others.

--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -1,4 +1,5 @@
-// What one gateway remembers, and the names of its parts. Types only: every decision is in control.cpp.
+// What one gateway remembers, and the names of its parts. Types only: every decision is in control.cpp and
+// servers.cpp.
 #pragma once
 
 #include <algorithm>
@@ -78,6 +79,7 @@
         HostEntry entry;
         TimePoint cold_since{};    // zero: warm
         int out = 0, streak = 0, ejections = 0;
+        int broken = 0;                // connections that broke or failed since it last said anything
         double ok = 0.0, bad = 0.0;    // decayed outcomes
         TimePoint counted{};
         double slowness = 1.0;    // latency against the fleet's usual for the class
@@ -148,6 +150,7 @@
     double coldness(const Server& v, TimePoint now) const;
     void count_outcome(Server& v, bool good, TimePoint now);
     void eject(Server& v, TimePoint now, bool hard);
+    void heard(Server& v, const AttemptFinished& e, TimePoint now);
     void report_heard(Server& v, const LoadReport& report, TimePoint now);
     void watch_servers(TimePoint now);
     bool suspect(const Server& v, TimePoint now) const;
--- a/tests/control_servers_test.cpp
+++ b/tests/control_servers_test.cpp
@@ -46,6 +46,28 @@
     EXPECT_EQ(sent.count(HostId{2}), 0U);
 }
 
+TEST(Health, ConnectionsThatBreakNowAndThenDoNotPutAServerOut) {
+    // Found on a day when servers cut kept connections: most were held to have ended, and then to be cold.
+    Script s(wide_open());
+    s.hosts(5);
+    std::map<HostId, int> sent;
+    for (int i = 0; i < 200; ++i) {
+        s.clear();
+        const RequestId id = s.ask();
+        for (int n = 0; n < 4; ++n) {
+            const auto send = s.last<Send>();
+            if (!send || send->request != id) break;
+            s.clear();
+            const bool breaks = n == 0 && ++sent[send->host] % 4 == 0;
+            s.outcome(id, n, send->host, breaks ? Outcome::Reset : Outcome::Ok, !breaks);
+        }
+        s.pass(10ms);
+        EXPECT_TRUE(s.all<Probe>().empty());
+    }
+    for (const auto& [host, count] : sent) EXPECT_GT(count, 10);
+    EXPECT_EQ(sent.size(), 5U);
+}
+
 TEST(Health, ProbeThatSucceedsBringsItBackByTrialTraffic) {
     Script s(wide_open());
     s.hosts(3);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -146,9 +146,10 @@
         changed_.notify_all();
     }
     std::string address() const { return stub_.address(); }
-    // Ends the watch that is open now.
+    // Ends the watch that is open, once there is one.
     void hang_up() {
-        const std::lock_guard lock(mutex_);
+        std::unique_lock lock(mutex_);
+        changed_.wait_for(lock, 10s, [&] { return written_ > 0; });
         ++hung_up_;
         changed_.notify_all();
     }
