Leave a class to other servers where part of it hangs, and call its slow attempts off there

Checked: a trace of outcomes. 322 of the 327 time-outs came from four of nine servers within 12 s, at the full budget of a read, while the same servers answered all else quickly (up to 45 good answers in the decayed count): part of one class hangs there. Time-outs count neither as failures nor, with other answers coming, as silence; the hung attempts filled the limit, which stood at its least (5.5 with 6 out), and tries were refused with room in the quota. Ruled out: overload (the limit was 27 before), resets (none), the sockets (0.2 ms from answer to client).

At fault: Impl::cost and Impl::watch_attempts, which know a server's pace only over all classes and leave a hung attempt to its deadline. Now each server keeps, by class, a decayed count of answers in good time and of attempts beyond five times the usual. Where their share is 0.3 and three times the middle server's, the server is dear to that class and its slow attempts are called off, where another may follow inside the aim.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 #include "gateway_state.h"
 #include "peer_message.h"
@@ -50,6 +51,7 @@
 constexpr double kLeastOut = 2.0;         // and the least that the limit falls to
 constexpr int kAimPerUsual = 8;           // the aim over the usual latency, until that is seen
 constexpr Duration kSweepEvery = 50ms;    // of all servers: budgets, silence, probes due
+constexpr int kSlowAfter = 5;             // times the class's usual latency: far over it
 constexpr int kHungAfter = 10;            // times the class's usual latency
 
 }    // namespace
@@ -409,7 +411,9 @@
         if (usable(r, *by_draw_[i], now, true)) fit.push_back(by_draw_[i]);
     }
     if (fit.empty()) return nullptr;
-    const auto cheaper = [&](const Server* a, const Server* b) { return cost(*a, now) < cost(*b, now); };
+    const auto cheaper = [&](const Server* a, const Server* b) {
+        return cost(r, *a, now) < cost(r, *b, now);
+    };
     return *std::min_element(fit.begin(), fit.end(), cheaper);
 }
 
@@ -579,6 +583,19 @@
     }
 }
 
+// Attempts far over their class's usual time, and what they say of their server.
+void Gateway::Impl::watch_pace(TimePoint now) {
+    for (auto& [id, r] : requests_) {
+        if (r.attempts.empty() || r.attempts.back().ran != Ran::Out || r.streaming) continue;
+        Attempt& a = r.attempts.back();
+        if (now - a.sent < kSlowAfter * usual(r)) continue;
+        const auto it = servers_.find(a.host);
+        if (it == servers_.end()) continue;
+        if (!std::exchange(a.slow, true)) note_pace(it->second, r.ask.class_index, true, now);
+        if (stands_out(it->second, r.ask.class_index, now)) give_up_attempt(id, r, now);
+    }
+}
+
 // Calls an attempt off where another may follow in time; the rest is decided on its outcome.
 void Gateway::Impl::give_up_attempt(RequestId id, Request& r, TimePoint now) {
     Attempt& a = r.attempts.back();
@@ -618,6 +635,7 @@
     --c.out;
     if (e.outcome == Outcome::Ok) {
         if (v != nullptr) learn_latency(*v, e, *r, now);
+        if (v != nullptr && !a.slow) note_pace(*v, r->ask.class_index, false, now);
         // Squared locally; the ceiling goes by the guess.
         if (e.settled_units > 0.0 && s_.settles && !r->beyond) {
             c.quota.level -= e.settled_units - r->ask.units;
@@ -699,6 +717,7 @@
         feed_cold(now);
         watch_servers(now);
         watch_attempts(now);
+        watch_pace(now);
     }
     pump(now);
     tell_neighbours(now);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <optional>
 #include <random>
@@ -75,9 +76,22 @@
         TimePoint heard{}, told{};
         bool known = false, ever_told = false;
     };
+    struct Slow {    // of one class at one server, decayed: answers in good time, and attempts far over it
+        double ok = 0.0, slow = 0.0;
+        TimePoint at{};
+
+        void decay(TimePoint now, double half_life) {
+            const double keep = std::exp2(-seconds(now - at) / half_life);
+            ok *= keep;
+            slow *= keep;
+            at = now;
+        }
+        double share() const { return slow / (2.0 + ok + slow); }
+    };
     struct Server {
         HostEntry entry;
-        TimePoint cold_since{};    // zero: warm
+        std::map<int, Slow> slow;    // by class
+        TimePoint cold_since{};      // zero: warm
         int out = 0, streak = 0, ejections = 0;
         int broken = 0;                // connections that broke or failed since it last said anything
         double ok = 0.0, bad = 0.0;    // decayed outcomes
@@ -100,6 +114,7 @@
         Ran ran = Ran::Out;
         bool stopped = false;
         bool hung = false;    // no longer counted as load
+        bool slow = false;    // counted as such at its server
     };
     struct Request {
         RequestArrived ask;
@@ -158,7 +173,10 @@
     // choice and attempts
     bool legal(const Request& r, const Server* target, TimePoint now) const;
     Server* choose(const Request& r, TimePoint now);
-    double cost(const Server& v, TimePoint now) const;
+    double cost(const Request& r, const Server& v, TimePoint now) const;
+    void note_pace(Server& v, int class_index, bool slow, TimePoint now);
+    bool stands_out(const Server& v, int class_index, TimePoint now) const;
+    void watch_pace(TimePoint now);
     bool usable(const Request& r, const Server& v, TimePoint now, bool any) const;
     void arrive(const RequestArrived& ask, TimePoint now);
     bool has_units(const Request& r, Customer& c, TimePoint now);
--- a/src/servers.cpp
+++ b/src/servers.cpp
@@ -17,6 +17,12 @@
 constexpr double kColdFleetWork = 1.0;    // core seconds a second a warm host surely does, where none is warm
 constexpr int kBroken = 4;    // resets in a row, or half as many failed connects: its process ended
 
+constexpr double kSlowHalfLife = 4.0;    // seconds
+constexpr double kSlowSeen = 2.5;        // slow attempts of a class at a server before it may stand out,
+constexpr double kSlowShare = 0.3;       // their share of all there,
+constexpr double kSlowApart = 3.0;       // and how many times the middle server's
+constexpr double kSlowCost = 20.0;
+
 }    // namespace
 
 void Gateway::Impl::list_heard(const HostList& e, TimePoint now) {
@@ -150,14 +156,41 @@
     }
 }
 
-double Gateway::Impl::cost(const Server& v, TimePoint now) const {
+// Part of one class may hang at a server that answers all else quickly: then neither silence nor errors show
+// it.
+void Gateway::Impl::note_pace(Server& v, int class_index, bool slow, TimePoint now) {
+    Slow& s = v.slow[class_index];
+    s.decay(now, kSlowHalfLife);
+    (slow ? s.slow : s.ok) += 1.0;
+}
+
+// Costly requests are slow at all servers alike, and where all are slow the load is: neither says anything of
+// one.
+bool Gateway::Impl::stands_out(const Server& v, int class_index, TimePoint now) const {
+    const auto paced = [&](const Server& server) {
+        const auto it = server.slow.find(class_index);
+        Slow s = it == server.slow.end() ? Slow{} : it->second;
+        s.decay(now, kSlowHalfLife);
+        return s;
+    };
+    const Slow own = paced(v);
+    if (own.slow < kSlowSeen || own.share() < kSlowShare) return false;
+    std::vector<double> shares;
+    for (const Server* other : by_draw_) shares.push_back(paced(*other).share());
+    const auto middle = shares.begin() + static_cast<std::ptrdiff_t>(shares.size() / 2);
+    std::nth_element(shares.begin(), middle, shares.end());
+    return own.share() > kSlowApart * *middle;
+}
+
+double Gateway::Impl::cost(const Request& r, const Server& v, TimePoint now) const {
     const double others =
         v.reported == TimePoint{} ? 0.0 : v.others * std::exp2(-seconds(now - v.reported) / 0.5);
     const double keep = std::exp2(-seconds(now - v.counted) / kFailHalfLife);
     const double failing = v.bad * keep / (1.0 + (v.ok + v.bad) * keep);
     const double far = v.entry.zone == s_.zone ? 1.0 : 1.1;
     const double size = std::max(0.01, v.entry.rating * coldness(v, now));
-    return (1.0 + v.out + others) * v.slowness * (1.0 + 10.0 * failing) * far / size;
+    const double slow = stands_out(v, r.ask.class_index, now) ? kSlowCost : 1.0;
+    return (1.0 + v.out + others) * v.slowness * (1.0 + 10.0 * failing) * slow * far / size;
 }
 
 void Gateway::Impl::feed_cold(TimePoint now) {
--- a/tests/control_servers_test.cpp
+++ b/tests/control_servers_test.cpp
@@ -176,6 +176,40 @@
     EXPECT_EQ(sent, 400);
 }
 
+TEST(Health, AServerWhereOneClassHangsIsLeftToTheOthers) {
+    // Found on a wide day: reads hung at four of nine servers until their time ran out, submits were served.
+    Script s(wide_open());
+    s.hosts(5);
+    run(s, 100, HostId{0}, Outcome::Ok);
+    std::vector<Send> out;
+    std::vector<std::pair<TimePoint, Send>> stuck;
+    std::map<RequestId, int> class_of;
+    int hung = 0, others = 0;
+    for (int i = 0; i < 400; ++i) {
+        s.clear();
+        for (int k = 0; k < 6; ++k) {
+            const int asked = k % 2 == 0 ? kSafe : kUnsafe;
+            class_of[s.ask(asked, 1.0, 7, kPlain, 400ms)] = asked;
+        }
+        for (const Send& send : s.all<Send>()) {
+            const bool hangs = send.host == HostId{2} && class_of[send.request] == kSafe;
+            hung += hangs;
+            others += send.host == HostId{2} && !hangs;
+            if (hangs) stuck.emplace_back(s.now + 400ms, send);
+            else out.push_back(send);
+        }
+        for (; !stuck.empty() && stuck.front().first <= s.now; stuck.erase(stuck.begin()))
+            s.outcome(stuck.front().second.request, 0, HostId{2}, Outcome::Timeout, true);
+        while (out.size() > 8) {
+            s.served(out.front());
+            out.erase(out.begin());
+        }
+        s.pass(10ms);
+    }
+    EXPECT_LT(hung, 20);       // 28 where nothing marks the server
+    EXPECT_GT(others, 150);    // 51: hung attempts there kept all else away
+}
+
 TEST(Health, OneLongAttemptIsNoSilence) {
     // Found on the quiet day of quimper-tiles and on ic04773: hosts were ejected for a single costly request.
     Script s(wide_open());
