--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -18,8 +18,12 @@
 
 struct TestFront : Front {
     int served_count = 0, refused_count = 0, failed_count = 0;
+    Duration advice{0};
     void served(Payload&&) override { ++served_count; }
-    void refused(Duration) override { ++refused_count; }
+    void refused(Duration retry_after) override {
+        ++refused_count;
+        advice = retry_after;
+    }
     void failed() override { ++failed_count; }
     int answers() const { return served_count + refused_count + failed_count; }
 };
@@ -123,6 +127,15 @@
     EXPECT_EQ(engine_.open_requests(), 0U);
 }
 
+TEST_F(EngineTest, OneTooManyIsRefusedAtOnceAndToldWhenToComeBack) {
+    for (int i = 0; i < 1000; ++i) ask();    // as many as may be open
+    ASSERT_EQ(engine_.open_requests(), 1000U);
+    ask();
+    EXPECT_EQ(counters_.turned_away, 1U);
+    EXPECT_EQ(front_.refused_count, 1);
+    EXPECT_EQ(front_.advice, 1s);
+}
+
 TEST_F(EngineTest, OnlyAStreamsBeginningIsToldAndItsBreakFails) {
     ask();
     engine_.attempt_began(sent_[0]);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -410,6 +410,19 @@
 
 // The whole program: without a handler SIGHUP ends it, and a discovery from the environment would go before
 // the new file's. What cannot be read must change nothing.
+// An address may pass to another process, and a connection kept from the last one leads nowhere.
+TEST(Operations, AKeptConnectionIsNotUsedOnceItsServerStartedAnew) {
+    Server server;
+    Discovery discovery(member("a", server.stub.address()));
+    Gateway gateway(discovery.address(), member("a", server.stub.address()));
+    Client client(gateway);
+    EXPECT_EQ(client.ask("/read").status, 200);
+    std::this_thread::sleep_for(5ms);    // it may be used again now
+    discovery.tell(member("a", server.stub.address(), "in_service", 1000));
+    EXPECT_EQ(client.ask("/read").status, 200);
+    EXPECT_EQ(gateway.end().servers_dialled, 2U);
+}
+
 TEST(Operations, AReloadMovesToTheNewDiscoveryAndABadFileChangesNothing) {
     Server a, b;
     Discovery first(member("a", a.stub.address())), second(member("b", b.stub.address()));
