--- a/src/counter/client.cpp
+++ b/src/counter/client.cpp
@@ -45,6 +45,9 @@
     if (std::string bytes = c.session.take_output(); !bytes.empty() && c.stream) {
         if (!c.stream->send(std::move(bytes))) return lose(c, "the connection broke");
     }
+    if (const auto field = c.session.take_spoilt(); field && c.spoilt_gate.open())
+        log(LogLevel::Warning, "the counter at {} holds what is no row of ours, at {}", c.session.address(),
+            *field);
     if (c.session.up() && !c.told_up) {
         c.told_up = true;
         log(LogLevel::Info, "the counter at {} answers", c.session.address());
--- a/src/counter/client.h
+++ b/src/counter/client.h
@@ -24,7 +24,7 @@
 
 private:
     struct Connection : StreamOwner {
-        Connection(Client& of, Session& s) : client(of), session(s), gate(std::chrono::minutes(1)) {}
+        Connection(Client& of, Session& s) : client(of), session(s) {}
         void on_connected() override;
         void on_input() override;
         void on_broken() override;
@@ -33,7 +33,7 @@
         Session& session;
         std::unique_ptr<Stream> stream;
         bool told_up = false;
-        LogGate gate;
+        LogGate gate{std::chrono::minutes(1)}, spoilt_gate{std::chrono::minutes(1)};
     };
 
     void step();
--- a/src/counter/session.cpp
+++ b/src/counter/session.cpp
@@ -121,23 +121,26 @@
     ledger_.refresh();    // it may have lost what it held
 }
 
+void Session::bad_value(const std::string& field) {
+    ++stats_.bad_values;
+    if (!spoilt_) spoilt_ = field;
+}
+
 void Session::read(const Call& call, const Reply& reply, TimePoint now) {
     const std::size_t gateways = static_cast<std::size_t>(s_.gateways);
     if (reply.kind != Reply::Kind::List || reply.items.size() != gateways + call.wanted.size()) {
         wrong_ = "it answered a read with no list of that length";
         return;
     }
+    // Nothing where no value is. What is no text is no row either.
     const auto text = [&](const Reply& item) -> const std::string* {
-        if (item.kind == Reply::Kind::Nil) return nullptr;
-        if (item.kind == Reply::Kind::Text) return &item.text;
-        ++stats_.bad_values;
-        return nullptr;
+        return item.kind == Reply::Kind::Nil ? nullptr : &item.text;
     };
     for (std::size_t i = 0; i < gateways; ++i) {
         const std::string* const value = text(reply.items[i]);
         if (value == nullptr || static_cast<int>(i) == s_.me) continue;
         if (const auto news = limits::read_news(*value)) ledger_.news_heard(static_cast<int>(i), *news, now);
-        else ++stats_.bad_values;
+        else bad_value(fmt::format("news:{}", i));
     }
     for (std::size_t i = 0; i < call.wanted.size(); ++i) {
         const std::string* const value = text(reply.items[gateways + i]);
@@ -148,7 +151,7 @@
             const bool missed = ledger_.overdue(customer, gateway, now);
             if (ledger_.row_heard(customer, gateway, *row, now) && missed) brought_news_ = true;
         } else {
-            ++stats_.bad_values;
+            bad_value(field_of(call.wanted[i].first, call.wanted[i].second));
         }
     }
 }
--- a/src/counter/session.h
+++ b/src/counter/session.h
@@ -54,6 +54,8 @@
     void broke(TimePoint now);
     // Set where the connection must be closed now: what is wrong with it.
     const std::optional<std::string>& wants_close() const { return wrong_; }
+    // A value that is nobody's row, since this was asked last: where it stands.
+    std::optional<std::string> take_spoilt() { return std::exchange(spoilt_, std::nullopt); }
     // What is to be written to it.
     std::string take_output() { return std::exchange(output_, {}); }
 
@@ -88,6 +90,7 @@
               std::vector<std::pair<CustomerId, int>> wanted = {});
     void answered(const Call& call, const Reply& reply, TimePoint now);
     void greeted(const Reply& reply, TimePoint now);
+    void bad_value(const std::string& field);
     void read(const Call& call, const Reply& reply, TimePoint now);
     std::string rows_key(TimePoint now);
     Duration patience() const;
@@ -100,7 +103,7 @@
     Replies replies_;
     std::deque<Call> calls_;    // in the order in which answers come
     std::string output_;
-    std::optional<std::string> wrong_;
+    std::optional<std::string> wrong_, spoilt_;
     std::string run_id_;
     TimePoint retry_at_{}, since_{};
     Duration backoff_{0};
--- a/src/limits/ledger.cpp
+++ b/src/limits/ledger.cpp
@@ -18,11 +18,16 @@
 constexpr Duration kStill = 3s;          // without news of a customer, after which its rows are read less
 constexpr Duration kForget = 30s;        // after the last request, once nothing is owed any more
 constexpr double kBaseWeight = 0.05;     // of an even part of the rate: a foot in the door for new traffic
-constexpr double kShift = 0.02;          // of a baseline: smaller moves are not worth what they lose
+constexpr double kShift = 0.02;          // of a baseline: smaller moves are not worth what they lose,
+constexpr double kCalmShift = 0.12;      // and while no store of the quota runs low, neither are these
+constexpr double kLow = 0.5;             // of a store: below it, it runs low
+constexpr double kPressed = 0.8;         // of the rate that is owned: who asks for more needs the others
 constexpr double kDemandShift = 0.25;    // told anew before its time where it moved by this part of itself,
-constexpr double kDemandStep = 0.3;      // and by so many units a second
-constexpr double kStay = 3.0;            // advantage in weight of those who hold a small ceiling already
-constexpr double kSmall = 2.0;    // largest requests in an even part of a ceiling: below it, it is small
+constexpr double kDemandStep = 0.3;      // and by so many units a second, or by this part of the plan's rate
+constexpr double kDemandPart = 0.1;
+constexpr int kLongestWindow = 4;    // demand windows, over which a deep store's demand is averaged
+constexpr double kStay = 3.0;        // advantage in weight of those who hold a small ceiling already
+constexpr double kSmall = 2.0;       // largest requests in an even part of a ceiling: below it, it is small
 
 double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 
@@ -150,7 +155,7 @@
 
 // Some gateway of the set is not heard: it may be gone, or apart from us and granting.
 bool Ledger::unheard(const Customer& c, TimePoint now) const {
-    if (now - c.since < s_.alone_after) return false;
+    if (now >= c.wanted_until || now - c.since < s_.alone_after) return false;
     return std::any_of(c.members.begin(), c.members.end(), [&](const Member& m) { return !fresh(m, now); });
 }
 
@@ -193,9 +198,32 @@
     return c == nullptr ? 0.0 : quota_share(*c, now);
 }
 
+// As long as the store of the quota lasts: what it evens out need not move shares.
+double Ledger::window(const Customer& c) const {
+    const valehall::PlanSettings& p = plan(c);
+    const double least = seconds(s_.demand_window);
+    return p.rate > 0.0 ? std::clamp(p.burst / p.rate, least, kLongestWindow * least) : least;
+}
+
+double Ledger::demand_step(const Customer& c) const {
+    return std::max(kDemandStep, kDemandPart * plan(c).rate);
+}
+
 double Ledger::demand(const Customer& c, TimePoint now) const {
     if (now - c.asked > kWantedWindows * s_.demand_window) return 0.0;
-    return c.demand * std::exp(-seconds(now - c.demand_at) / seconds(s_.demand_window));
+    return c.demand * std::exp(-seconds(now - c.demand_at) / window(c));
+}
+
+// What this gateway owns may not do for what is asked of it: rows must travel. Where it does, nothing is
+// exchanged at all, and each gateway keeps to its baseline.
+bool Ledger::pressed(Customer& c, TimePoint now) const {
+    const valehall::PlanSettings& p = plan(c);
+    c.quota.refill(now);
+    c.ceiling.refill(now);
+    const auto low = [&](const Bucket& b) { return b.cap < s_.most_units || b.level <= kLow * b.cap; };
+    if (p.rate > 0.0 && low(c.quota)) return true;
+    if (p.ceiling_rate > 0.0 && low(c.ceiling)) return true;
+    return demand(c, now) > kPressed * baseline(c, c.place) * p.rate;
 }
 
 // Ends what ran out. A holder's end comes before its giver's, by the margins above.
@@ -256,17 +284,14 @@
                                        TimePoint now) {
     Customer* c = track(id, plan_index, first, width, now);
     if (c == nullptr) return std::nullopt;
-    const double window = seconds(s_.demand_window);
-    c->demand = demand(*c, now) + std::max(0.0, units) / window;
+    c->demand = demand(*c, now) + std::max(0.0, units) / window(*c);
     c->demand_at = c->asked = now;
-    const bool idle = now >= c->wanted_until;
-    if (idle) {
-        c->since = now;
-        announce(id, *c);
+    if (pressed(*c, now)) {
+        if (now >= c->wanted_until) announce(id, *c);
+        want(id, *c, now + kWantedWindows * s_.demand_window, now);
     }
-    want(id, *c, now + kWantedWindows * s_.demand_window, now);
-    const double seen = demand(*c, now);
-    if (idle || std::abs(seen - c->told_demand) > kDemandStep + kDemandShift * c->told_demand) mark(id, *c);
+    const double moved = std::abs(demand(*c, now) - c->told_demand);
+    if (now < c->wanted_until && moved > demand_step(*c) + kDemandShift * c->told_demand) mark(id, *c);
     return touch(id, *c, now);
 }
 
@@ -287,7 +312,7 @@
 
 void Ledger::want(CustomerId id, Customer& c, TimePoint until, TimePoint now) {
     if (now >= c.wanted_until) {
-        c.moved = now;
+        c.since = c.moved = now;
         mark(id, c);
     }
     c.wanted_until = std::max(c.wanted_until, until);
@@ -349,14 +374,16 @@
     }
     // What is not leased on purpose stays here. Small moves wait, but not those that begin or end a lease.
     std::map<Member*, std::uint32_t> target;
-    bool moves = false;
+    bool moves = false, low = c.quota.level <= kLow * c.quota.cap;
+    for (const Member& m : c.members) low = low || (fresh(m, now) && m.fill <= kLow);
+    const double shift = low || small(c) ? kShift : kCalmShift;
     for (const Share& s : shares) {
         if (s.member != nullptr && mine) target[s.member] = s.lease;
     }
     for (Member& m : c.members) {
         const std::uint32_t to = target.contains(&m) ? target[&m] : 0;
         const double by = std::abs(static_cast<double>(to) - static_cast<double>(m.giving)) / kWhole;
-        moves = moves || by > kShift || (by > 0.0 && (to == 0 || m.giving == 0));
+        moves = moves || by > shift || (by > 0.0 && (to == 0 || m.giving == 0));
     }
     if (!moves) return;
     for (Member& m : c.members) m.giving = std::min(m.giving, target.contains(&m) ? target[&m] : 0);
@@ -485,7 +512,8 @@
         m.held = m.credited = 0;
     }
     ++stats_.rows_heard;
-    const bool news = other_life || std::abs(row.demand - m.demand) > kDemandStep + kDemandShift * m.demand;
+    const bool news =
+        other_life || std::abs(row.demand - m.demand) > demand_step(*c) + kDemandShift * m.demand;
     m.known = true;
     m.incarnation = row.incarnation;
     m.stamp = row.stamp;
@@ -558,7 +586,6 @@
         if (c == nullptr) continue;
         if (!known) c->asked = now - kWantedWindows * s_.demand_window;
         ++stats_.news_heard;
-        if (now >= c->wanted_until) c->since = now;
         want(item.customer, *c, now + s_.lease / kFreshPart, now);
         schedule(item.customer, *c, now);
     }
--- a/src/limits/ledger.h
+++ b/src/limits/ledger.h
@@ -38,7 +38,7 @@
     double reserve = 0.25;            // part of a baseline's ceiling that is never leased
     double alone_share = 0.7;    // of a quota, that a gateway may grant which does not hear of all the others
     Duration alone_after{1'500'000};      // and how long it waits before it does
-    Duration demand_window{2'000'000};    // over which what a customer asks for is averaged
+    Duration demand_window{2'000'000};    // over which what a customer asks for is averaged, at least
     std::size_t most_customers = 100'000;
     std::size_t most_news = 64;    // customers in one announcement
 
@@ -167,7 +167,10 @@
     double ceiling_share(const Customer& c, TimePoint now) const;
     double own_quota_share(const Customer& c) const;
     double quota_share(const Customer& c, TimePoint now) const;
+    double window(const Customer& c) const;
+    double demand_step(const Customer& c) const;
     double demand(const Customer& c, TimePoint now) const;
+    bool pressed(Customer& c, TimePoint now) const;
     void want(CustomerId id, Customer& c, TimePoint until, TimePoint now);
     void announce(CustomerId id, const Customer& c);
     bool forgettable(const Customer& c, TimePoint now) const;
