Rule on each request by the plan book: changes in service, reservations, spread and control socket

Need: a customer must move from one plan to another during payroll, and a known batch must get allowance ahead, without minting units and without passing the ceiling in force.

Change: the ledger takes terms beyond the settings' plans, keeps units and debts where a customer goes over to others, carves rates and holds reservations as accounts that draw on their owner's ceiling. src/plans/desk rules on each request, src/plans/spread brings the book to all gateways over the store's notice board, in the same two calls. src/control_socket/ and `shaletray plans` let operators in. The engine bills each request to the plan it was taken under, before its first attempt is sent. All of it off unless the operator's file has `plans` or `usage`.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -140,6 +140,7 @@
     Customer* c = customer_for(now, e.customer, e.plan_index, e.first_gateway, e.width);
     if (c == nullptr) return;
     refill(*c, now);
+    c->plan = e.plan_index;
     c->quota.rate = e.rate;
     c->quota.cap = e.burst;
     c->quota.level = std::min(e.burst, c->quota.level + e.gain);
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -70,7 +70,17 @@
     ask.width = arrival.width;
     request.arrival = std::move(arrival);
     // Told before each request, so that it matters neither what the module forgot nor what ran out meanwhile.
-    if (ledger_ != nullptr) {
+    request.ruling = {ask.customer, ask.plan_index, 0, 0};
+    if (desk_ != nullptr) {
+        std::vector<valehall::Allowance> told;
+        const plans::Desk::Ruling ruling =
+            desk_->rule(ask.customer, ask.plan_index, ask.first_gateway, ask.width, ask.units,
+                        request.arrival.reservation, clock_.now(), told);
+        request.ruling = ruling;
+        ask.customer = ruling.account;
+        ask.plan_index = ruling.plan_index;
+        for (const valehall::Allowance& allowance : told) feed(allowance);
+    } else if (ledger_ != nullptr) {
         if (const auto allowance = ledger_->asked(ask.customer, ask.plan_index, ask.first_gateway, ask.width,
                                                   ask.units, clock_.now()))
             feed(*allowance);
@@ -131,9 +141,9 @@
 void Engine::allowances_due() {
     if (ledger_ == nullptr) return;
     const TimePoint now = clock_.now();
-    if (const auto next = ledger_->next(); !next || *next > now) return;
     std::vector<valehall::Allowance> changed;
-    ledger_->tick(now, changed);
+    if (desk_ != nullptr) desk_->due(now, changed);
+    if (const auto next = ledger_->next(); next && *next <= now) ledger_->tick(now, changed);
     for (const valehall::Allowance& allowance : changed) feed(allowance);
 }
 
@@ -187,8 +197,7 @@
         return;
     }
     const AttemptId id{action.request, static_cast<int>(request->attempts.size())};
-    if (ledger_ != nullptr && id.number == 0)
-        ledger_->admitted(request->arrival.customer, request->arrival.units, now);
+    if (id.number == 0) admit(*request, now);
     request->attempts.push_back({action.host, now});
     ++request->out;
     Attempt& attempt = request->attempts.back();
@@ -243,6 +252,21 @@
 
 // ---- requests ----
 
+// A request is about to be sent for the first time: it counts from here on, whatever becomes of it.
+void Engine::admit(const Request& request, TimePoint now) {
+    const Arrival& a = request.arrival;
+    if (desk_ != nullptr) {
+        told_.clear();
+        desk_->admitted(request.ruling, a.customer, a.units, now, told_);
+        for (const valehall::Allowance& allowance : told_) feed(allowance);
+    } else if (ledger_ != nullptr) {
+        ledger_->admitted(a.customer, a.units, now);
+    }
+    if (use_ == nullptr) return;
+    const plans::Desk::Ruling& r = request.ruling;
+    use_->admitted({a.customer, a.class_index, r.plan_index, a.units, r.plan_version, r.reservation, now});
+}
+
 // The one place where a request stops being owed an answer. Gives the front that is to have it, if any.
 Front* Engine::close(Request& request) {
     timers_.cancel(request.overdue);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -13,6 +13,7 @@
 #include "core/counters.h"
 #include "core/timers.h"
 #include "limits/ledger.h"
+#include "plans/desk.h"
 #include "valehall/control.h"
 
 namespace shaletray {
@@ -35,10 +36,26 @@
     double units = 1.0;
     Duration budget{0};
     int first_gateway = 0, width = 1;
-    bool streams = false;    // its answer begins long before it ends
+    bool streams = false;       // its answer begins long before it ends
+    std::string reservation;    // that it draws on, where plans change in service
     Payload payload;
 };
 
+// A request that was let in, as it is billed.
+struct Admission {
+    valehall::CustomerId customer{};
+    int class_index = 0, plan_index = 0;
+    double units = 0.0;
+    std::uint64_t plan_version = 0, reservation = 0;
+    valehall::TimePoint at{};
+};
+// What keeps a record of use. Told of each request once, before its first attempt is sent.
+class UseKeeper {
+public:
+    virtual ~UseKeeper() = default;
+    virtual void admitted(const Admission& admission) = 0;
+};
+
 struct AttemptId {
     RequestId request{};
     int number = 0;
@@ -86,6 +103,9 @@
     void connect(Backend& backend, Mail& mail, ListSource& lists);
     // Shares are worked out by this ledger, and not by the module's own mail. It outlives the engine's use.
     void share_by(limits::Ledger& ledger) { ledger_ = &ledger; }
+    // Plans change in service: this desk rules on each request, and speaks to that ledger.
+    void rule_by(plans::Desk& desk) { desk_ = &desk; }
+    void keep_use_in(UseKeeper& keeper) { use_ = &keeper; }
     // Tells the module which of its allowances ran out or changed by now.
     void allowances_due();
 
@@ -113,6 +133,7 @@
     struct Request {
         Front* front = nullptr;    // none: answered or withdrawn
         Arrival arrival;
+        plans::Desk::Ruling ruling;    // whatever changes meanwhile
         TimePoint deadline{};
         Timers::Id overdue = 0;
         std::vector<Attempt> attempts;
@@ -131,6 +152,7 @@
     void perform(const valehall::Probe& action);
     void perform(const valehall::TellPeer& action);
     void perform(const valehall::Subscribe& action);
+    void admit(const Request& request, TimePoint now);
     Front* close(Request& request);
     Front* drop(RequestId id);
     void end(AttemptId id, Attempt& attempt, Outcome outcome, LoadReport&& report, bool final);
@@ -149,6 +171,9 @@
     Mail* mail_ = nullptr;
     ListSource* lists_ = nullptr;
     limits::Ledger* ledger_ = nullptr;
+    plans::Desk* desk_ = nullptr;
+    UseKeeper* use_ = nullptr;
+    std::vector<valehall::Allowance> told_;    // kept for its memory
     std::unordered_map<RequestId, Request> requests_;
     std::uint32_t last_request_ = 0;
     // An action's effects wait until all actions before them are done. Kept for their memory.
--- a/src/counter/client.h
+++ b/src/counter/client.h
@@ -19,6 +19,7 @@
     Client(const Client&) = delete;
     Client& operator=(const Client&) = delete;
 
+    void carry(Notices& notices) { exchange_.carry(notices); }
     void start();
     const CounterStats& stats() const { return stats_; }
 
--- a/src/counter/exchange.h
+++ b/src/counter/exchange.h
@@ -23,6 +23,9 @@
 
     std::size_t size() const { return stores_.size(); }
     Session& at(std::size_t i) { return *stores_[i].session; }
+    void carry(Notices& notices) {
+        for (Store& store : stores_) store.session->carry(&notices);
+    }
     // What is due: time-outs, and calls to the stores whose turn it is.
     void tick(TimePoint now);
     std::optional<TimePoint> next() const;
--- /dev/null
+++ b/src/counter/notices.h
@@ -0,0 +1,23 @@
+// What others than the ledger put on the board and read from it, in the same calls as the rows. Whatever
+// stands there may be lost, old or somebody else's: a notice is written again until it is read back.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "valehall/control.h"
+
+namespace shaletray::counter {
+
+class Notices {
+public:
+    virtual ~Notices() = default;
+    virtual std::vector<std::pair<std::string, std::string>> to_write() = 0;
+    virtual std::vector<std::string> wanted() = 0;
+    // Of each wanted field that was there; the others are told as absent.
+    virtual void heard(const std::string& field, const std::string& value, valehall::TimePoint now) = 0;
+    virtual void absent(const std::string& field) = 0;
+};
+
+}    // namespace shaletray::counter
--- a/src/counter/session.cpp
+++ b/src/counter/session.cpp
@@ -128,7 +128,8 @@
 
 void Session::read(const Call& call, const Reply& reply, TimePoint now) {
     const std::size_t gateways = static_cast<std::size_t>(s_.gateways);
-    if (reply.kind != Reply::Kind::List || reply.items.size() != gateways + call.wanted.size()) {
+    if (reply.kind != Reply::Kind::List ||
+        reply.items.size() != gateways + call.wanted.size() + call.notices.size()) {
         wrong_ = "it answered a read with no list of that length";
         return;
     }
@@ -154,6 +155,11 @@
             bad_value(field_of(call.wanted[i].first, call.wanted[i].second));
         }
     }
+    for (std::size_t i = 0; i < call.notices.size(); ++i) {
+        const std::string* const value = text(reply.items[gateways + call.wanted.size() + i]);
+        if (value != nullptr) notices_->heard(call.notices[i], *value, now);
+        else notices_->absent(call.notices[i]);
+    }
 }
 
 // ---- calls ----
@@ -161,7 +167,7 @@
 void Session::call(Ask ask, const std::vector<std::string>& words, TimePoint now,
                    std::vector<std::pair<CustomerId, int>> wanted) {
     ++stats_.calls;
-    calls_.push_back({ask, now, false, std::move(wanted)});
+    calls_.push_back({ask, now, false, std::move(wanted), {}});
     output_ += write_command(words);
 }
 
@@ -200,6 +206,12 @@
         write.push_back(field_of(id, s_.me));
         write.push_back(limits::write_row(row));
     }
+    if (notices_ != nullptr) {
+        for (auto& [field, value] : notices_->to_write()) {
+            write.push_back(std::move(field));
+            write.push_back(std::move(value));
+        }
+    }
     stats_.rows_written += rows.size();
     if (write.size() > 2) {
         call(Ask::Write, write, now);
@@ -208,7 +220,11 @@
     std::vector<std::string> read{"HMGET", key};
     for (int i = 0; i < s_.gateways; ++i) read.push_back(fmt::format("news:{}", i));
     for (const auto& [id, gateway] : wanted) read.push_back(field_of(id, gateway));
+    std::vector<std::string> notices;
+    if (notices_ != nullptr) notices = notices_->wanted();
+    read.insert(read.end(), notices.begin(), notices.end());
     call(Ask::Read, read, now, wanted);
+    calls_.back().notices = std::move(notices);
 }
 
 void Session::tick(TimePoint now) {
--- a/src/counter/session.h
+++ b/src/counter/session.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "counter/notices.h"
 #include "counter/resp.h"
 #include "limits/ledger.h"
 
@@ -52,6 +53,8 @@
     // The connection ended, could not be made, or must end; tried again later. Nothing where it is down
     // already.
     void broke(TimePoint now);
+    // Others than the ledger that read and write along; it outlives this.
+    void carry(Notices* notices) { notices_ = notices; }
     // Set where the connection must be closed now: what is wrong with it.
     const std::optional<std::string>& wants_close() const { return wrong_; }
     // A value that is nobody's row, since this was asked last: where it stands.
@@ -82,6 +85,7 @@
         TimePoint at{};
         bool late = false;
         std::vector<std::pair<CustomerId, int>> wanted;
+        std::vector<std::string> notices;
     };
     // Of calls out at once: a slow store is asked less, and never piled up.
     static constexpr std::size_t kMostOut = 8;
@@ -98,6 +102,7 @@
     SessionSettings s_;
     Ledger& ledger_;
     CounterStats& stats_;
+    Notices* notices_ = nullptr;
     std::mt19937_64 random_;
     State state_ = State::Down;
     Replies replies_;
--- a/src/limits/ledger.cpp
+++ b/src/limits/ledger.cpp
@@ -72,11 +72,23 @@
     return it == customers_.end() ? nullptr : &it->second;
 }
 
-Ledger::Customer* Ledger::track(CustomerId id, int plan_index, int first, int width, TimePoint now) {
+const LedgerTerms* Ledger::extra(int plan) const {
+    const auto it = extra_.find(plan);
+    return it == extra_.end() ? nullptr : &it->second;
+}
+
+const valehall::PlanSettings* Ledger::terms(int plan) const {
+    if (plan >= 0 && static_cast<std::size_t>(plan) < s_.plans.size())
+        return &s_.plans[static_cast<std::size_t>(plan)];
+    const LedgerTerms* const more = extra(plan);
+    return more == nullptr ? nullptr : &more->figures;
+}
+
+Ledger::Customer* Ledger::track(CustomerId id, int plan_index, int first, int width, TimePoint now,
+                                const Standing& standing) {
     if (Customer* c = find(id)) return c;
-    const bool sane = plan_index >= 0 && static_cast<std::size_t>(plan_index) < s_.plans.size() &&
-                      first >= 0 && first < s_.gateways && width >= 1 && width <= s_.gateways &&
-                      width <= kWidest;
+    const bool sane = terms(plan_index) != nullptr && first >= 0 && first < s_.gateways && width >= 1 &&
+                      width <= s_.gateways && width <= kWidest;
     const int place = sane ? ((s_.me - first) % s_.gateways + s_.gateways) % s_.gateways : width;
     if (!sane || place >= width) return nullptr;
     if (customers_.size() >= s_.most_customers) {
@@ -98,7 +110,13 @@
     }
     const valehall::PlanSettings& p = plan(c);
     const double quota = own_quota_share(c);
-    c.quota = {p.burst * quota, p.burst * quota, p.rate * quota, now};
+    double full = standing.rested_quota < 0.0 ? p.burst : std::min(p.burst, standing.rested_quota);
+    const LedgerTerms* const account = extra(plan_index);
+    if (account != nullptr && account->account && account->filled_from != TimePoint{})
+        full = std::min(p.burst, p.rate * seconds(std::max(Duration(0), now - account->filled_from)));
+    c.carved = standing.carved;
+    c.quota = {full * quota, p.burst * quota, std::max(0.0, p.rate - c.carved) * quota, now};
+    if (account != nullptr) c.quota.level = std::max(0.0, c.quota.level - account->spent);
     // An earlier life may have spent the ceiling: it counts from this start, and for the first lease's time
     // only as far as nobody can hold any of it.
     const double own = baseline(c, c.place);
@@ -107,6 +125,8 @@
     const double share = ceiling_share(c, now);
     c.ceiling = {0.0, p.ceiling_burst * share, p.ceiling_rate * share, now};
     c.ceiling.level = std::min(c.ceiling.cap, p.ceiling_rate * own * (reserve(c) * early + late));
+    if (standing.rested_ceiling >= 0.0)
+        c.ceiling.level = std::min(c.ceiling.level, standing.rested_ceiling * share);
     return &c;
 }
 
@@ -221,7 +241,7 @@
     c.quota.refill(now);
     c.ceiling.refill(now);
     const auto low = [&](const Bucket& b) { return b.cap < s_.most_units || b.level <= kLow * b.cap; };
-    if (p.rate > 0.0 && low(c.quota)) return true;
+    if (p.burst > 0.0 && low(c.quota)) return true;
     if (p.ceiling_rate > 0.0 && low(c.ceiling)) return true;
     return demand(c, now) > kPressed * baseline(c, c.place) * p.rate;
 }
@@ -255,9 +275,10 @@
         c.gain += level - c.quota.level;
         c.quota.level = level;
     }
-    const bool changed = burst != c.quota.cap || p.ceiling_burst * ceiling != c.ceiling.cap || c.gain != 0.0;
+    const bool changed = burst != c.quota.cap || c.quota.rate != std::max(0.0, p.rate - c.carved) * quota ||
+                         p.ceiling_burst * ceiling != c.ceiling.cap || c.gain != 0.0;
     c.quota.cap = burst;
-    c.quota.rate = p.rate * quota;
+    c.quota.rate = std::max(0.0, p.rate - c.carved) * quota;
     c.ceiling.cap = p.ceiling_burst * ceiling;
     c.ceiling.rate = p.ceiling_rate * ceiling;
     c.ceiling.level = std::min(c.ceiling.level, c.ceiling.cap);
@@ -266,24 +287,29 @@
 
 Allowance Ledger::told(CustomerId id, Customer& c) {
     c.told = true;
+    const LedgerTerms* const more = extra(c.plan);
+    const Customer* const owner = more != nullptr && more->account ? find(more->owner) : nullptr;
+    const Bucket& ceiling = owner != nullptr ? owner->ceiling : c.ceiling;
     return {id,
-            c.plan,
+            more != nullptr ? more->like : c.plan,
             c.first,
             c.width,
             c.quota.rate,
             c.quota.cap,
             std::exchange(c.gain, 0.0),
-            c.ceiling.rate,
-            c.ceiling.cap,
-            c.ceiling.level};
+            ceiling.rate,
+            ceiling.cap,
+            ceiling.level};
 }
 
 // ---- what the gateway sees ----
 
 std::optional<Allowance> Ledger::asked(CustomerId id, int plan_index, int first, int width, double units,
-                                       TimePoint now) {
-    Customer* c = track(id, plan_index, first, width, now);
+                                       TimePoint now, const Standing& standing) {
+    Customer* c = track(id, plan_index, first, width, now, standing);
     if (c == nullptr) return std::nullopt;
+    c->carved = standing.carved;
+    if (c->plan != plan_index && terms(plan_index) != nullptr) replan(id, *c, plan_index, now);
     c->demand = demand(*c, now) + std::max(0.0, units) / window(*c);
     c->demand_at = c->asked = now;
     if (pressed(*c, now)) {
@@ -307,9 +333,106 @@
     c->quota.refill(now);
     c->ceiling.refill(now);
     c->quota.level -= units;
+    if (const LedgerTerms* more = extra(c->plan); more != nullptr && more->account) {
+        if (Customer* owner = find(more->owner)) {
+            owner->ceiling.refill(now);
+            owner->ceiling.level -= units;
+        }
+        return;
+    }
     c->ceiling.level -= units;
 }
 
+// ---- plans that change in service ----
+
+void Ledger::define(int plan, LedgerTerms terms) {
+    if (plan >= 0 && static_cast<std::size_t>(plan) < s_.plans.size())
+        throw valehall::BadSettings("ledger: the settings' own plans are as they are");
+    extra_.emplace(plan, std::move(terms));
+}
+
+// Units only ever come from rate x time: whatever sequence of plans a customer goes through, it gets no more
+// than the largest of their stores once, and the largest rate.
+void Ledger::replan(CustomerId id, Customer& c, int to, TimePoint now) {
+    c.quota.refill(now);
+    c.ceiling.refill(now);
+    const int before = holders(c);
+    c.plan = to;
+    ++stats_.replanned;
+    // A lease is a part of a baseline. Where those are others now, it means nothing any more.
+    if (holders(c) != before) {
+        for (Member& m : c.members) m.held = m.credited = 0;
+    }
+    const double cap = plan(c).burst * quota_share(c, now);
+    const double level = std::min(c.quota.level, cap);
+    c.gain += level - c.quota.level;
+    c.quota.level = level;
+    c.quota.cap = cap;
+    reshare(c, now);
+    if (now < c.wanted_until) mark(id, c);
+}
+
+std::optional<Allowance> Ledger::set(CustomerId id, int plan, double carved, TimePoint now) {
+    Customer* const c = find(id);
+    if (c == nullptr || terms(plan) == nullptr || (c->plan == plan && c->carved == carved))
+        return std::nullopt;
+    c->quota.refill(now);
+    c->carved = carved;
+    if (c->plan != plan) replan(id, *c, plan, now);
+    settle(*c, now);
+    schedule(id, *c, now);
+    if (!c->told) return std::nullopt;
+    return told(id, *c);
+}
+
+std::optional<Allowance> Ledger::close(CustomerId id, TimePoint now) {
+    Customer* const c = find(id);
+    if (c == nullptr) return std::nullopt;
+    c->quota.refill(now);
+    const double left = c->quota.level;    // below nothing: the owner's quota makes up for it
+    const LedgerTerms* const more = extra(c->plan);
+    Customer* const owner = more == nullptr ? nullptr : find(more->owner);
+    const CustomerId owner_id = more == nullptr ? CustomerId{} : more->owner;
+    erase(id);
+    if (owner == nullptr) return std::nullopt;    // not tracked: its own store is full
+    owner->quota.refill(now);
+    const double back = std::min(left, std::max(0.0, owner->quota.cap - owner->quota.level));
+    owner->quota.level += back;
+    owner->gain += back;
+    if (!owner->told) return std::nullopt;
+    return told(owner_id, *owner);
+}
+
+double Ledger::level(CustomerId id, TimePoint now) {
+    Customer* const c = find(id);
+    if (c == nullptr) return 0.0;
+    c->quota.refill(now);
+    return c->quota.level;
+}
+
+std::optional<Allowance> Ledger::retell(CustomerId id, TimePoint now) {
+    Customer* const c = find(id);
+    if (c == nullptr || !c->told) return std::nullopt;
+    settle(*c, now);
+    return told(id, *c);
+}
+
+std::vector<CustomerId> Ledger::customers() const {
+    std::vector<CustomerId> ids;
+    ids.reserve(customers_.size());
+    for (const auto& [id, c] : customers_) ids.push_back(id);
+    return ids;
+}
+
+void Ledger::erase(CustomerId id) {
+    const auto it = customers_.find(id);
+    if (it == customers_.end()) return;
+    due_.erase({it->second.due, id});
+    dirty_.erase(id);
+    live_.erase(id);
+    customers_.erase(it);
+}
+
 void Ledger::want(CustomerId id, Customer& c, TimePoint until, TimePoint now) {
     if (now >= c.wanted_until) {
         c.since = c.moved = now;
@@ -654,8 +777,7 @@
             live_.erase(id);
         }
         if (forgettable(c, now)) {
-            dirty_.erase(id);
-            customers_.erase(id);
+            erase(id);
             continue;
         }
         schedule(id, c, now);
--- a/src/limits/ledger.h
+++ b/src/limits/ledger.h
@@ -53,9 +53,29 @@
     std::uint64_t lives_seen = 0;                      // other gateways' restarts
     std::uint64_t untracked = 0;                       // customers beyond the limit, left to the static share
     std::uint64_t news_heard = 0;
+    std::uint64_t replanned = 0;                       // customers that went over to other terms
     std::size_t customers = 0, live = 0, alone = 0;    // as of now
 };
 
+// Terms beyond the settings' plans, under a number of their own: a version of a plan, or a reservation, which
+// is an account of its own whose units were carved out of its owner's quota.
+struct LedgerTerms {
+    valehall::PlanSettings figures;
+    int like = 0;    // the settings' plan that the module goes by
+    bool account = false;
+    CustomerId owner{};         // of an account: whose ceiling it draws on
+    TimePoint filled_from{};    // of an account: its units come evenly from then on at figures.rate; zero:
+                                // all are there
+    double spent = 0.0;         // of an account: here, in an earlier life
+};
+
+// What the caller knows of a customer when it asks.
+struct Standing {
+    double carved = 0.0;    // units a second that go to its reservations
+    // What its stores would hold had it rested until now; below 0: they would be full.
+    double rested_quota = -1.0, rested_ceiling = -1.0;
+};
+
 class Ledger {
 public:
     // `now` is the start of this life; what an earlier one handed out is unknown for `lease` from here.
@@ -64,11 +84,27 @@
     // ---- what the gateway sees ----
     // A request is about to be decided. Gives what the module must know of its customer; nothing where the
     // customer is not tracked, and the module's static share holds.
+    // Where the plan is another than before, the customer's stores keep their units and debts, up to the
+    // sizes of the new one.
     std::optional<Allowance> asked(CustomerId customer, int plan, int first, int width, double units,
-                                   TimePoint now);
+                                   TimePoint now, const Standing& standing = {});
     // A try was first sent on.
     void admitted(CustomerId customer, double units, TimePoint now);
 
+    // ---- plans that change in service ----
+    // Terms under a number from settings.plans.size() on. The same number always means the same.
+    void define(int plan, LedgerTerms terms);
+    bool defined(int plan) const { return terms(plan) != nullptr; }
+    // The customer goes by these terms from now on. Nothing where it is not tracked.
+    std::optional<Allowance> set(CustomerId customer, int plan, double carved, TimePoint now);
+    // The account is over: what is left of it here goes back to its owner, who is told of it, if known.
+    std::optional<Allowance> close(CustomerId account, TimePoint now);
+    // Units that an account, or a quota, holds here.
+    double level(CustomerId customer, TimePoint now);
+    // What the module must know of a customer now, where it is tracked and was told before.
+    std::optional<Allowance> retell(CustomerId customer, TimePoint now);
+    std::vector<CustomerId> customers() const;
+
     // ---- what is exchanged with the other gateways ----
     // Rows that are due to be written, at most so many. Each is owed to all who carry rows.
     std::vector<std::pair<CustomerId, Row>> rows_due(TimePoint now, std::size_t most);
@@ -134,6 +170,7 @@
         double demand = 0.0;    // units a second, decayed to demand_at
         TimePoint demand_at{};
         Bucket quota, ceiling;
+        double carved = 0.0;
         double gain = 0.0;    // quota units moved in or out, not yet told to the module
         double told_demand = 0.0;
         TimePoint alone_until{};      // it stands in for others, or did until lately
@@ -148,12 +185,15 @@
         Row last;
     };
 
-    const valehall::PlanSettings& plan(const Customer& c) const {
-        return s_.plans[static_cast<std::size_t>(c.plan)];
-    }
+    const valehall::PlanSettings& plan(const Customer& c) const { return *terms(c.plan); }
+    const valehall::PlanSettings* terms(int plan) const;
+    const LedgerTerms* extra(int plan) const;
+    void replan(CustomerId id, Customer& c, int plan, TimePoint now);
+    void erase(CustomerId id);
     Customer* find(CustomerId id);
     const Customer* find(CustomerId id) const;
-    Customer* track(CustomerId id, int plan, int first, int width, TimePoint now);
+    Customer* track(CustomerId id, int plan, int first, int width, TimePoint now,
+                    const Standing& standing = {});
     bool small(const Customer& c) const;
     int holders(const Customer& c) const;
     double baseline(const Customer& c, int place) const;
@@ -188,6 +228,7 @@
     LedgerSettings s_;
     TimePoint boot_{};
     Duration hold_{0};    // how long a lease is used; shorter than the giver reckons with
+    std::map<int, LedgerTerms> extra_;
     std::map<CustomerId, Customer> customers_;
     std::set<std::pair<TimePoint, CustomerId>> due_;
     std::set<CustomerId> dirty_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,14 +2,19 @@
 #include <Poco/Exception.h>
 #include <fmt/format.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
+#include <cstring>
+#include <filesystem>
 #include <fstream>
+#include <functional>
 #include <iterator>
 
+#include "control_socket/ask.h"
 #include "core/log.h"
 #include "service/service.h"
 
@@ -103,7 +108,21 @@
     return status;
 }
 
+// Heavy tools are programs of their own beside this one, which loads nothing that it does not use.
+bool hand_over(int argc, char** argv) {
+    const std::string_view what = argc > 1 ? argv[1] : "";
+    if (what != "usage" && what != "store") return false;
+    const auto tool = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "shaletray_usage";
+    std::vector<char*> words(argv, argv + argc);
+    std::string name = tool.string();
+    words[0] = name.data();
+    words.push_back(nullptr);
+    execv(name.c_str(), words.data());
+    throw std::runtime_error(fmt::format("{}: {}", name, std::strerror(errno)));
+}
+
 int run(int argc, char** argv) {
+    if (hand_over(argc, argv)) return EXIT_FAILURE;
     CLI::App app{"A quota gateway. Without a sub-command it serves."};
     app.require_subcommand(0, 1);
     app.add_subcommand("serve", "Run the gateway with the configuration that EDGE_CONFIG names");
@@ -113,11 +132,17 @@
     bool show = false;
     checking->add_option("file", files, "The files to check")->required();
     checking->add_flag("--show", show, "Print each file as it holds, defaults included");
+    // For the list of sub-commands; they were handed over before this.
+    app.add_subcommand("usage", "Use records: run, export, tail, reconcile");
+    app.add_subcommand("store", "The store of use records: backup, verify, compact");
+    std::function<int()> chosen;
+    shaletray::control_socket::add_plans_command(app, chosen);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
         return app.exit(error);
     }
+    if (chosen) return chosen();
     return checking->parsed() ? check(files, show) : serve();
 }
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -22,11 +22,11 @@
     reactor.retire(std::make_unique<RetiredStream>(std::move(stream)));
 }
 
-void Stream::adopt(const Poco::Net::StreamSocket& accepted) {
+void Stream::adopt(const Poco::Net::StreamSocket& accepted, bool local) {
     socket_ = accepted;
     open_ = true;
     socket_.setBlocking(false);
-    socket_.setNoDelay(true);
+    if (!local) socket_.setNoDelay(true);
     read_on(true);
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -29,7 +29,7 @@
     Stream(const Stream&) = delete;
     Stream& operator=(const Stream&) = delete;
 
-    void adopt(const Poco::Net::StreamSocket& accepted);
+    void adopt(const Poco::Net::StreamSocket& accepted, bool local = false);    // local: of no TCP
     // False where it failed at once. Otherwise on_connected or on_broken follows.
     bool dial(const std::string& address);
     // False where the connection broke. What the system does not take now is written later, then on_sent
--- a/src/plans/book.cpp
+++ b/src/plans/book.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t kLongestName = 64;
 constexpr int kMostSuccessors = 8;
 constexpr double kHair = 1e-9;
+constexpr Duration kRested = 1h;           // after which any store is taken for full,
+constexpr std::size_t kMostRested = 64;    // and how many changes are gone through for less
 
 double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 
@@ -147,6 +149,36 @@
     return it == reservations_.end() ? nullptr : &it->second;
 }
 
+std::string Book::reservation_name(std::uint64_t version) const {
+    if (version == 0 || version > log_.size()) return {};
+    const auto* r = std::get_if<Reserve>(&log_[version - 1].body);
+    return r == nullptr ? std::string() : r->id;
+}
+
+Book::Rested Book::rested(CustomerId customer, int asked_plan, TimePoint at) const {
+    auto it = schedule_.upper_bound(at);
+    if (it == schedule_.begin()) return {};
+    if (at - std::prev(it)->first > kRested) return {};
+    for (std::size_t i = 0;
+         i < kMostRested && it != schedule_.begin() && at - std::prev(it)->first <= kRested; ++i)
+        --it;
+    // From before the first of those on, by the rule that a change goes by.
+    InForce f = in_force(customer, asked_plan, it->first - 1us);
+    Rested r{f.figures.burst, f.figures.ceiling_burst};
+    const auto grow = [&](TimePoint from, TimePoint to) {
+        const double rate = std::max(0.0, f.figures.rate - carved(customer, from));
+        r.quota = std::min(f.figures.burst, r.quota + rate * seconds(to - from));
+        r.ceiling =
+            std::min(f.figures.ceiling_burst, r.ceiling + f.figures.ceiling_rate * seconds(to - from));
+    };
+    for (; it != schedule_.end() && it->first <= at; ++it) {
+        f = in_force(customer, asked_plan, it->first);
+        const auto next = std::next(it);
+        grow(it->first, next == schedule_.end() ? at : std::min(at, next->first));
+    }
+    return r;
+}
+
 std::vector<const Reservation*> Book::reservations_of(CustomerId customer) const {
     std::vector<const Reservation*> all;
     if (const auto it = reserved_.find(customer); it != reserved_.end())
@@ -407,6 +439,11 @@
 // ---- entries ----
 
 void Book::apply(const Change& c) {
+    check(c);
+    take(c);
+}
+
+void Book::check(const Change& c) const {
     if (c.version != version() + 1)
         throw BadChange(fmt::format("version {} does not follow on {}", c.version, version()));
     if (c.chain != chain_of(chain(), c))
@@ -416,7 +453,6 @@
     if (const auto refusal = std::visit([&](const auto& body) { return wrong(body, c.at); }, c.body);
         refusal && refusal->why != Refusal::Why::TooMuch && refusal->why != Refusal::Why::TooFar)
         throw BadChange(fmt::format("version {}: {}", c.version, refusal->text));
-    take(c);
 }
 
 void Book::take(const Change& c) {
--- a/src/plans/book.h
+++ b/src/plans/book.h
@@ -54,7 +54,8 @@
     // Of its units, carved by then.
     double carved(TimePoint at) const;
     bool carving(TimePoint at) const { return at >= start && at < std::min(full, end); }
-    bool open(TimePoint at) const { return at >= made.from && at < end; }
+    // Not before its change is in effect, however early its window begins.
+    bool open(TimePoint at) const { return at >= std::max(made.from, start) && at < end; }
     bool operator==(const Reservation&) const = default;
 };
 
@@ -69,6 +70,9 @@
     // book is as before then.
     void apply(const Change& change);
 
+    // Throws as apply would, and changes nothing: for who must keep the entry before it counts.
+    static void check_next(const Book& book, const Change& change) { book.check(change); }
+
     std::uint64_t version() const { return log_.size(); }
     std::uint64_t chain() const { return log_.empty() ? 0 : log_.back().chain; }
     const std::vector<Change>& log() const { return log_; }
@@ -76,11 +80,23 @@
     std::uint64_t version_of(const std::string& subject) const;
 
     InForce in_force(CustomerId customer, int asked_plan, TimePoint at) const;
+    // A plan's own terms, or its successor's; nothing where it has none at that time.
+    std::optional<InForce> terms(const std::string& plan, TimePoint at) const { return terms_of(plan, at); }
     // What the book assigns, where the file lets it win or not.
     std::string assigned(CustomerId customer, TimePoint at) const;
     // Units a second that are carved out of the customer's quota.
     double carved(CustomerId customer, TimePoint at) const;
     const Reservation* reservation(const std::string& id) const;
+    std::string reservation_name(std::uint64_t version) const;    // empty where that version made none
+    const valehall::PlanSettings& platform(int plan) const {
+        return s_.platform.at(static_cast<std::size_t>(plan));
+    }
+    // What a customer's stores would hold, over all gateways, had it drawn nothing lately: after a change to
+    // a larger plan they are not full at once. Below 0: full.
+    struct Rested {
+        double quota = -1.0, ceiling = -1.0;
+    };
+    Rested rested(CustomerId customer, int asked_plan, TimePoint at) const;
     std::vector<const Reservation*> reservations_of(CustomerId customer) const;
     std::vector<std::string> plans() const;    // names, the platform's first
     std::size_t customers_of(const std::string& plan, TimePoint at) const;
@@ -128,6 +144,7 @@
     std::vector<TimePoint> steps(const Reservation& r) const;
     double room(const Reservation& r, const std::string& but) const;
     static Reservation laid_out(const Reserve& r, TimePoint at, std::uint64_t version);
+    void check(const Change& change) const;
     void take(const Change& change);
 
     BookSettings s_;
--- a/src/platform/config.h
+++ b/src/platform/config.h
@@ -29,6 +29,7 @@
     // What the settings say beyond what the module reads.
     PlaceNames places;
     std::vector<bool> streams;    // by class
+    bool reservations = false;    // requests may name one; set where plans change in service
     Duration conn_idle{0}, dial_timeout{0};
     MemberList known;
 
--- a/src/platform/messages.cpp
+++ b/src/platform/messages.cpp
@@ -12,11 +12,12 @@
 constexpr std::string_view kId = "X-Correlation-Id", kPlan = "X-Tier", kTimeLeft = "X-Time-Left",
                            kKey = "Idempotency-Key", kTerms = "X-Call-Terms", kLoad = "X-Backend-Load",
                            kUnprocessed = "X-Unprocessed", kType = "Content-Type", kCookie = "Cookie",
-                           kHost = "Host";
+                           kHost = "Host", kReservation = "X-Reservation";
 
 constexpr double kMostReported = 1e6;
 constexpr std::uint64_t kCustomers = 1ULL << 33;
 constexpr std::size_t kLongestId = 256;
+constexpr std::size_t kLongestReservation = 64;
 
 template <class Number>
 bool parse_number(std::string_view text, Number& value) {
@@ -159,6 +160,12 @@
         return Rejection{400, "no customer, or a malformed one"};
     if (!parse_terms(parser.header(buffer, kTerms), config.settings, arrival))
         return Rejection{400, "malformed call terms"};
+    if (config.reservations) {
+        if (parser.count(buffer, kReservation) > 1)
+            return Rejection{400, "a header that may come once came twice"};
+        arrival.reservation = parser.header(buffer, kReservation);
+        if (arrival.reservation.size() > kLongestReservation) return Rejection{400, "too long a reservation"};
+    }
     arrival.budget = cls.give_up;
     if (const std::string_view left = parser.header(buffer, kTimeLeft);
         !left.empty() && !parse_time_left(left, arrival.budget)) {
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace shaletray {
 namespace {
@@ -14,16 +15,18 @@
 constexpr Duration kAcceptOn = 700ms;          // after the order to stop, for clients that do not know yet
 // The process is ended by force the longest deadline plus 0.7 s after that order.
 constexpr Duration kShortestGrace = 3s, kEndBefore = 100ms;
-constexpr int kEpochLeases = 16;      // leases for which the store keeps rows in one hash
+constexpr int kEpochLeases = 16;    // leases for which the store keeps rows in one hash
+constexpr Duration kLeastLook = 25ms, kLongestLook = 250ms;    // at what changes in the ledger and the book
 constexpr double kIdleShare = 0.6;    // of the time after which servers close a connection
 
 std::size_t share_of(const Config& config, double share) {
     return static_cast<std::size_t>(static_cast<double>(config.sockets - kOwnDescriptors) * share);
 }
 
-// Where a counter carries the shares, the ring of datagrams does not.
+// Where a counter carries the shares, or plans change in service, the ring of datagrams does not.
 Config without_ring(Config config, const settings::OperatorSettings& settings) {
-    if (!settings.counter) return config;
+    config.reservations = settings.plans.has_value();
+    if (!settings.counter && !settings.plans) return config;
     config.settings.may_tell = false;
     config.peers.clear();
     config.peers_all.clear();
@@ -31,8 +34,8 @@
     return config;
 }
 
-limits::LedgerSettings ledger_settings(const settings::CounterSettings& c, const valehall::Settings& s,
-                                       TimePoint now) {
+limits::LedgerSettings ledger_settings(const settings::OperatorSettings& settings,
+                                       const valehall::Settings& s, TimePoint now) {
     limits::LedgerSettings l;
     l.me = s.me;
     l.gateways = s.gateways;
@@ -40,6 +43,13 @@
     l.most_units = s.most_units;
     // Microseconds of Unix time: larger at each start, unless the machine's clock was set back.
     l.incarnation = static_cast<std::uint64_t>(std::max<std::int64_t>(1, now.time_since_epoch().count()));
+    if (!settings.counter) {
+        // Nobody is ever heard: each gateway has its even part, and stands in for none.
+        l.alone_share = 0.0;
+        l.reserve = 0.0;
+        return l;
+    }
+    const settings::CounterSettings& c = *settings.counter;
     l.lease = c.lease;
     l.reserve = c.reserve;
     l.alone_share = c.alone_share;
@@ -77,9 +87,9 @@
 Service::Service(Config config, settings::OperatorSettings settings)
     : config_(without_ring(std::move(config), settings)),
       hosts_(config_.settings.drain_grace),
-      ledger_(settings.counter
+      ledger_(settings.counter || settings.plans
                   ? std::make_unique<limits::Ledger>(
-                        ledger_settings(*settings.counter, config_.settings, clock_.now()), clock_.now())
+                        ledger_settings(settings, config_.settings, clock_.now()), clock_.now())
                   : nullptr),
       engine_(config_.settings, config_.seed, clock_, timers_, counters_) {
     const Duration idle(
@@ -93,17 +103,110 @@
         pool_->list_changed();
     });
     engine_.connect(*pool_, *peers_, *watch_);
-    if (ledger_) {
-        engine_.share_by(*ledger_);
+    if (ledger_) engine_.share_by(*ledger_);
+    if (settings.counter) {
         shared_counter_ = std::make_unique<counter::Client>(
             exchange_settings(*settings.counter, config_.settings, config_.seed), *ledger_, engine_,
             reactor_);
     }
+    if (settings.usage) {
+        try {
+            use_log_ = std::make_unique<UseLog>(*settings.usage, config_.settings.me, clock_.now());
+            engine_.keep_use_in(*use_log_);
+        } catch (const std::exception& error) {
+            if (settings.usage->refuse_trouble)
+                throw std::runtime_error(fmt::format("usage.journal: {}", error.what()));
+            log(LogLevel::Error, "use is not recorded: {}", error.what());
+        }
+    }
+    if (settings.plans) begin_plans(*settings.plans);
     listener_ = std::make_unique<Listener>(engine_, config_, counters_, reactor_,
                                            share_of(config_, kClientShare), [this] { return listed_; });
 }
 
-Service::~Service() = default;
+Service::~Service() { reactor_.cancel(changes_timer_); }
+
+// ---- plans that change in service ----
+
+void Service::begin_plans(const settings::PlansSettings& s) {
+    plans::BookSettings b;
+    b.platform = config_.settings.plans;
+    b.book_wins = s.book_wins;
+    b.lead = s.lead;
+    b.most_carved = s.most_carved;
+    plans::Book book(b);
+    book_file_ = std::make_unique<BookFile>(s.book, book, !s.refuse_damage);
+    const BookFile::Loaded& loaded = book_file_->loaded();
+    if (loaded.torn) log(LogLevel::Warning, "{}: its last line was cut short, and never counted", s.book);
+    if (!loaded.damage.empty())
+        log(LogLevel::Error, "the plan book is damaged; served as of version {}: {}", loaded.changes,
+            loaded.damage);
+    log(LogLevel::Info, "the plan book is at version {}", loaded.changes);
+    tallies_ = std::make_unique<journal::Tallies>(fmt::format("{}.redeemed", s.book));
+    std::map<std::uint64_t, double> redeemed;
+    for (const auto& [version, units] : tallies_->read()) {
+        const plans::Reservation* r = book.reservation(book.reservation_name(version));
+        if (r == nullptr || r->end <= clock_.now()) tallies_->drop(version);
+        else redeemed[version] = static_cast<double>(units) / journal::kMillionths;
+    }
+    desk_ = std::make_unique<plans::Desk>(std::move(book), *ledger_, clock_.now(), std::move(redeemed));
+    engine_.rule_by(*desk_);
+    desk_->on_redeemed([this](std::uint64_t version, double units) {
+        if (!tallies_->put(version, journal::millionths(units)) && gate_.open())
+            log(LogLevel::Warning, "too many reservations are open for their use to survive a restart");
+    });
+    if (shared_counter_) {
+        spread_ = std::make_unique<plans::Spread>(config_.settings.me, config_.settings.gateways, s.keeper,
+                                                  desk_->book(),
+                                                  [this](const plans::Change& c) { make_change(c); });
+        shared_counter_->carry(*spread_);
+    }
+    if (!s.control.empty()) {
+        control_socket::Office office(*desk_, s.keeper, [this](const plans::Change& c) { make_change(c); });
+        control_ =
+            std::make_unique<control_socket::Server>(std::move(office), reactor_, s.control, s.control_mode);
+    }
+    changes_due();
+}
+
+// An entry of the book, made here or heard of: kept first, then it counts.
+void Service::make_change(const plans::Change& change) {
+    plans::Book::check_next(desk_->book(), change);
+    book_file_->append(change);
+    desk_->take(change, clock_.now());
+    log(LogLevel::Info, "plan book version {}: {} by {}, from {}", change.version,
+        plans::subject_of(change.body), change.author, plans::time_text(change.at));
+    changes_due();
+}
+
+// Acts on what takes effect by now, and comes again when more does.
+void Service::changes_due() {
+    reactor_.cancel(changes_timer_);
+    engine_.allowances_due();
+    const TimePoint now = clock_.now();
+    TimePoint due = now + kLongestLook;
+    if (const auto next = desk_->next()) due = std::min(due, *next);
+    if (const auto next = ledger_->next()) due = std::min(due, std::max(*next, now + kLeastLook));
+    changes_timer_ = reactor_.at(std::max(due, now), [this] { changes_due(); });
+}
+
+UseLog::UseLog(const settings::UsageSettings& s, int gateway, TimePoint now)
+    : recorder_({s.journal, static_cast<std::uint32_t>(gateway),
+                 static_cast<std::uint64_t>(std::max<std::int64_t>(1, now.time_since_epoch().count())),
+                 s.segment_rows, s.most_segments}) {}
+
+void UseLog::admitted(const Admission& a) {
+    journal::Use use;
+    use.at = a.at;
+    use.customer = a.customer;
+    use.units = journal::millionths(a.units);
+    use.plan_version = static_cast<std::uint32_t>(a.plan_version);
+    use.plan = static_cast<std::uint16_t>(a.plan_index);
+    use.class_index = static_cast<std::uint16_t>(a.class_index);
+    use.reservation = a.reservation;
+    if (!recorder_.append(use) && gate_.open())
+        log(LogLevel::Error, "use is only counted, for want of a segment: {}", recorder_.trouble());
+}
 
 void Service::run(std::function<void()> look) {
     reactor_.before_turn([this, look = std::move(look)](bool sockets) {
@@ -136,6 +239,23 @@
 
 std::string Service::counters_text() const {
     std::string out = counters_.text();
+    if (use_log_) {
+        const journal::WriterStats& u = use_log_->stats();
+        out += fmt::format("use: recorded={} unrecorded={} segments={}\n", u.rows, u.unrecorded, u.segments);
+    }
+    if (desk_) {
+        const plans::DeskStats d = desk_->stats(clock_.now());
+        out += fmt::format(
+            "plans: version={} changes={} late={} latest_us={} behind_us={} reservations_open={} redeemed={} "
+            "not_redeemed={} asked={}\n",
+            desk_->book().version(), d.changes, d.late, d.latest.count(), d.behind.count(), d.open,
+            d.redeemed, d.not_redeemed, control_ ? control_->asked() : 0);
+    }
+    if (spread_) {
+        const plans::SpreadStats p = spread_->stats();
+        out += fmt::format("spread: put={} heard={} foreign={} bad_values={} behind={}\n", p.put, p.heard,
+                           p.foreign, p.bad_values, p.behind);
+    }
     if (!shared_counter_) return out;
     const counter::CounterStats& c = shared_counter_->stats();
     const limits::LedgerStats l = ledger_->stats(clock_.now());
--- a/src/service/service.h
+++ b/src/service/service.h
@@ -4,17 +4,35 @@
 #include <memory>
 #include <string>
 
+#include "control_socket/server.h"
 #include "core/engine.h"
 #include "counter/client.h"
+#include "journal/segment.h"
+#include "journal/tallies.h"
 #include "net/discovery_watch.h"
 #include "net/listener.h"
 #include "net/peer_socket.h"
 #include "net/reactor.h"
 #include "net/server_pool.h"
+#include "plans/spread.h"
+#include "service/book_file.h"
 #include "settings/operator_settings.h"
 
 namespace shaletray {
 
+// Puts what was admitted into the journal, and the units that reservations gave beside it.
+class UseLog : public UseKeeper {
+public:
+    // Throws what the journal throws where it cannot begin.
+    UseLog(const settings::UsageSettings& settings, int gateway, TimePoint now);
+    void admitted(const Admission& admission) override;
+    const journal::WriterStats& stats() const { return recorder_.stats(); }
+
+private:
+    journal::Recorder recorder_;
+    LogGate gate_{std::chrono::minutes(1)};
+};
+
 class Service {
 public:
     // Throws BadSettings, or Poco::Exception where an address cannot be used.
@@ -38,6 +56,9 @@
 
 private:
     void look_after_stop();
+    void begin_plans(const settings::PlansSettings& settings);
+    void make_change(const plans::Change& change);
+    void changes_due();
 
     Config config_;
     SystemClock clock_;
@@ -46,12 +67,20 @@
     Reactor reactor_{clock_, timers_};
     HostDirectory hosts_;
     std::unique_ptr<limits::Ledger> ledger_;
+    std::unique_ptr<BookFile> book_file_;
+    std::unique_ptr<plans::Desk> desk_;
+    std::unique_ptr<plans::Spread> spread_;
+    std::unique_ptr<journal::Tallies> tallies_;
+    std::unique_ptr<UseLog> use_log_;
     Engine engine_;
     std::unique_ptr<ServerPool> pool_;
     std::unique_ptr<PeerSocket> peers_;
     std::unique_ptr<Listener> listener_;
     std::unique_ptr<DiscoveryWatch> watch_;
     std::unique_ptr<counter::Client> shared_counter_;
+    std::unique_ptr<control_socket::Server> control_;
+    Timers::Id changes_timer_ = 0;
+    LogGate gate_{std::chrono::minutes(1)};
     bool listed_ = false;
     TimePoint stopping_since_{};
 };
--- a/src/settings/operator_settings.cpp
+++ b/src/settings/operator_settings.cpp
@@ -26,6 +26,16 @@
     T whole(const std::string& name) const {
         return static_cast<T>(number(name));
     }
+    bool truth(const std::string& name) const { return at(name)->truth; }
+    std::uint64_t size(const std::string& name) const {
+        const Value& v = *at(name);
+        return static_cast<std::uint64_t>(v.kind == Kind::Text ? read_size(v.text).value() : v.number);
+    }
+    std::vector<std::string> texts(const std::string& name) const {
+        std::vector<std::string> out;
+        for (const ValuePtr& item : at(name)->items) out.push_back(item->text);
+        return out;
+    }
     std::chrono::microseconds duration(const std::string& name) const {
         return std::chrono::microseconds(static_cast<std::int64_t>(read_duration(at(name)->text).value()));
     }
@@ -103,6 +113,41 @@
     return c;
 }
 
+PlansSettings plans_of(const Record& r) {
+    PlansSettings p;
+    p.book = r.text("book");
+    p.keeper = r.truth("keeper");
+    p.book_wins = r.text("precedence") == "book";
+    p.control = r.text("control");
+    p.control_mode = std::stoi(r.text("control_mode"), nullptr, 8);
+    p.lead = r.duration("lead");
+    p.most_carved = r.number("most_carved");
+    p.refuse_damage = r.text("on_damage") == "refuse";
+    return p;
+}
+
+UsageSettings usage_of(const Record& r) {
+    UsageSettings u;
+    u.journal = r.text("journal");
+    u.store = r.text("store");
+    u.files = r.text("files");
+    u.form = r.text("form");
+    u.endpoint = r.text("endpoint");
+    u.segment_rows = r.whole<std::uint32_t>("segment_rows");
+    u.most_segments = r.whole<std::uint64_t>("most_segments");
+    u.refuse_trouble = r.text("on_trouble") == "refuse";
+    u.most_store = r.size("most_store");
+    u.settle = r.duration("settle");
+    u.every = r.duration("every");
+    u.lines = r.whole<std::uint32_t>("lines");
+    u.keep_batches = r.whole<int>("keep_batches");
+    u.timeout = r.duration("timeout");
+    u.check_every = r.duration("check_every");
+    u.plans = r.texts("plans");
+    u.classes = r.texts("classes");
+    return u;
+}
+
 void write(const Value& v, int depth, std::string& out) {
     const std::string indent(static_cast<std::size_t>(depth), '\t');
     if (v.kind == Kind::Record) {
@@ -132,6 +177,8 @@
     const Record r(settled(text, file));
     OperatorSettings s;
     if (r.has("counter")) s.counter = counter_of(Record(r.at("counter")));
+    if (r.has("plans")) s.plans = plans_of(Record(r.at("plans")));
+    if (r.has("usage")) s.usage = usage_of(Record(r.at("usage")));
     return s;
 }
 
--- a/src/settings/operator_settings.h
+++ b/src/settings/operator_settings.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,8 +27,31 @@
     std::size_t most_customers = 0, most_rows = 0;
 };
 
+struct PlansSettings {
+    std::string book;    // file
+    bool keeper = false;
+    bool book_wins = false;
+    std::string control;    // path of the socket; empty: none
+    int control_mode = 0660;
+    std::chrono::microseconds lead{};
+    double most_carved = 0.0;
+    bool refuse_damage = true;
+};
+
+struct UsageSettings {
+    std::string journal, store, files, form, endpoint;
+    std::uint32_t segment_rows = 0, lines = 0;
+    std::uint64_t most_segments = 0, most_store = 0;
+    int keep_batches = 0;
+    bool refuse_trouble = true;
+    std::chrono::microseconds settle{}, every{}, timeout{}, check_every{};
+    std::vector<std::string> plans, classes;    // names of the platform's, for the lines
+};
+
 struct OperatorSettings {
     std::optional<CounterSettings> counter;
+    std::optional<PlansSettings> plans;
+    std::optional<UsageSettings> usage;
 };
 
 // Both throw BadSettingsFile with all that is wrong.
--- a/src/settings/schema.cue
+++ b/src/settings/schema.cue
@@ -25,4 +25,37 @@
 	most_rows: *1024 | int & >=1 & <=10000
 }
 
+#Plans: {
+	book: string & !=""
+	keeper: bool
+	precedence: *"request" | "book"
+	control: *"" | string
+	control_mode: *"0660" | "0600" | "0666"
+	lead: *"2s" | #Duration & >="0s" & <="1h"
+	most_carved: *0.5 | number & >=0 & <=0.9
+	on_damage: *"refuse" | "serve"
+}
+
+#Usage: {
+	journal: string & !=""
+	segment_rows: *8192 | int & >=2 & <=1048576
+	most_segments: *2048 | int & >=2 & <=1000000
+	on_trouble: *"refuse" | "serve"
+	store: string & !=""
+	most_store: *"4GiB" | #Size & >="1MiB"
+	settle: *"5s" | #Duration & >="0s" & <="1h"
+	every: *"1s" | #Duration & >="10ms" & <="1h"
+	lines: *5000 | int & >=1 & <=100000
+	keep_batches: *10000 | int & >=0 & <=10000000
+	files?: string & !=""
+	form: *"jsonl" | "csv"
+	endpoint?: string & =~"^http://([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}/.*$"
+	timeout: *"2s" | #Duration & >="10ms" & <="1m"
+	check_every: *"30s" | #Duration & >="100ms" & <="1h"
+	plans: *[] | [...string]
+	classes: *[] | [...string]
+}
+
 counter?: #Counter
+plans?: #Plans
+usage?: #Usage
