--- a/deploy/shaletray.cue
+++ b/deploy/shaletray.cue
@@ -19,3 +19,41 @@
 	most_customers: 100000 // whose shares are tracked; the others have an even, fixed part
 	most_rows:      1024   // in one call
 }
+
+plans: { // see docs/operate/plans-and-usage.md
+	book:         "/var/lib/shaletray/book" // this gateway's own copy of the plan book
+	keeper:       true                      // at one gateway: changes are made there
+	precedence:   "request"                 // or "book": its assignment goes before the plan that a request names
+	control:      ""                        // path of the operators' socket; empty: none
+	control_mode: "0660"
+	lead:         "2s" // from a change to its effect, at least
+	most_carved:  0.5  // of a customer's rate, for its reservations
+	on_damage:    "refuse" // or "serve"
+	plans: [ // as they should be, from the next start or SIGHUP on
+		{plan: "empresa", rate: 10, burst: 40, ceiling_rate: 20, ceiling_burst: 80, ceiling_slack: 8},
+	]
+	customers: [
+		{customer: "0000000000000007", plan: "empresa"},
+	]
+}
+
+usage: {
+	journal:       "/var/lib/shaletray/journal" // folder of records
+	segment_rows:  8192
+	most_segments: 2048     // of a gateway that may wait to be read
+	on_trouble:    "refuse" // or "serve": start and record nothing
+	// what follows is the exporter's
+	store:        "/var/lib/shaletray/use.db"
+	most_store:   "4GiB"
+	settle:       "5s" // after a minute's end
+	every:        "1s"
+	lines:        5000  // in a batch
+	keep_batches: 10000 // that all have, for an endpoint that was set back
+	files:        "/var/lib/shaletray/out"
+	form:         "jsonl" // or "csv"
+	endpoint:     "http://127.0.0.1:8080/usage/batches"
+	timeout:      "2s"
+	check_every:  "30s" // how far the endpoint is, where nothing is to be sent
+	plans: ["equipo", "empresa"] // the platform's, in their order, for the lines
+	classes: ["claim-read"]
+}
--- a/lab/experiment_counter.cpp
+++ b/lab/experiment_counter.cpp
@@ -7,22 +7,16 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <condition_variable>
 #include <csignal>
 #include <cstdlib>
-#include <deque>
 #include <filesystem>
-#include <fstream>
 #include <map>
-#include <mutex>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <random>
-#include <thread>
 
 #include "counter/resp.h"
-#include "harness.h"
 #include "limits/ledger.h"
+#include "rig.h"
 
 namespace shaletray::lab {
 namespace {
@@ -37,21 +31,16 @@
 constexpr double kMostUnits = 2.0;
 constexpr double kSlackSeconds = 0.15;    // of the ceiling's rate: from a send to the worker's record
 
-double secs(Duration d) { return std::chrono::duration<double>(d).count(); }
-Duration from_secs(double s) { return Duration(static_cast<std::int64_t>(s * 1e6)); }
-
 // How a customer's requests come, and how much of its quota it asks for.
 enum class Way { Even, OneGateway, Flood, Small };
 constexpr const char* kWays[] = {"even", "one", "flood", "small"};
 
-struct Plan {
-    const char* name;
-    double rate, burst, ceiling_rate, ceiling_burst;
-};
-constexpr Plan kPlans[] = {{"equipo", 8.0, 24.0, 0.0, 0.0},
-                           {"empresa", 8.0, 24.0, 16.0, 48.0},
-                           {"tight", 8.0, 24.0, 10.0, 30.0},
-                           {"small", 2.0, 6.0, 3.4, 5.0}};
+constexpr double slack_of(double ceiling_burst) { return std::max(kMostUnits, 0.1 * ceiling_burst); }
+const std::vector<RigPlan> kPlans = {{"equipo", 8.0, 24.0, 0.0, 0.0, 0.0},
+                                     {"empresa", 8.0, 24.0, 16.0, 48.0, slack_of(48.0)},
+                                     {"tight", 8.0, 24.0, 10.0, 30.0, slack_of(30.0)},
+                                     {"small", 2.0, 6.0, 3.4, 5.0, slack_of(5.0)}};
+using Plan = RigPlan;
 
 struct Bucket {
     double rate = 0.0, burst = 0.0, level = 0.0, lowest = 1e300;
@@ -87,31 +76,20 @@
     double calls_per_s = 0.0;
 };
 
-class Experiment {
+class Experiment : Rig {
 public:
     Experiment(std::string programs, std::uint64_t seed, double seconds)
-        : programs_(std::move(programs)), seconds_(seconds), random_(seed), seed_(seed) {
-        folder_ = files::temp_directory_path() / fmt::format("shaletray-counter-{}-{}", seed, getpid());
-        files::create_directories(folder_);
-        workers_ = std::make_unique<Workers>(
-            reactor_, 4, 20ms, [this](int, std::string_view target, TimePoint at) { record(target, at); });
+        : Rig({"counter", std::move(programs), seed, kGateways, 4, kMostUnits, kPlans},
+              [this](int, std::string_view target, TimePoint at) { record(target, at); }),
+          seconds_(seconds),
+          random_(seed) {
         customers();
     }
-    ~Experiment() {
-        if (thread_.joinable()) {
-            reactor_.stop();
-            reactor_.wakeUp();
-            thread_.join();
-        }
-        callers_.clear();
-        std::error_code ignored;
-        files::remove_all(folder_, ignored);
-    }
+    ~Experiment() override { stop_thread(); }
 
     int run() {
         for (int i = 0; i < 2; ++i) ports_.push_back(free_port());
         stores_.resize(2);
-        gateways_.resize(kGateways);
         for (std::size_t i = 0; i < 2; ++i) start_store(i);
         for (int g = 0; g < kGateways; ++g)
             for (std::size_t i = 0; i < 2; ++i)
@@ -171,9 +149,7 @@
         sync_do([this] {
             for (auto& gateway : gateways_) orderly_ = orderly_ && gateway->end() == 0;
         });
-        reactor_.stop();
-        reactor_.wakeUp();
-        thread_.join();
+        stop_thread();
         return report();
     }
 
@@ -188,7 +164,7 @@
                                   : Way::OneGateway;
             c.plan = c.way == Way::Flood ? 2 : c.way == Way::Small ? 3 : i / 2 % 2;
             c.home = i % kGateways;
-            const Plan& p = kPlans[c.plan];
+            const Plan& p = kPlans[static_cast<std::size_t>(c.plan)];
             c.load = p.rate * (c.way == Way::Flood ? 4.0 : c.way == Way::Small ? 2.0 : real(0.75, 0.9));
             // Requests that the ledger has let go may be recorded a little later than they were sent.
             c.ceiling = {p.ceiling_rate, p.ceiling_burst, 0.0, 1e300, {}};
@@ -211,7 +187,7 @@
 
     void start_store(std::size_t i) {
         stores_[i] = std::make_unique<Process>(
-            std::vector<std::string>{programs_ + "/counter_stand_in", "--port", std::to_string(ports_[i])},
+            std::vector<std::string>{s_.programs + "/counter_stand_in", "--port", std::to_string(ports_[i])},
             std::map<std::string, std::string>{}, (folder_ / fmt::format("store{}.log", i)).string());
     }
     void tell_stores(const std::vector<std::string>& words) {
@@ -236,84 +212,15 @@
     }
 
     void start_gateway(int g, bool with_counter) {
-        const int port = free_port();
-        Json settings = {{"me", g},
-                         {"replicasOfMe", kGateways},
-                         {"zone", 0},
-                         {"zones", {"room-a"}},
-                         {"kinds", {"std-2core"}},
-                         {"membershipMode", "push"},
-                         {"loadInfo", {{"via", "off"}}},
-                         {"specifics", {{"mailPerS", 40}, {"mostUnits", kMostUnits}}},
-                         {"limits",
-                          {{"sendCap", 3},
-                           {"maxOpen", 5000},
-                           {"mayCancel", true},
-                           {"mayProbe", true},
-                           {"mayTell", false},
-                           {"retryAfter", true},
-                           {"maxRetryAfter", 1000000},
-                           {"dialTimeout", 250000},
-                           {"connIdle", 15000000}}},
-                         {"rules",
-                          {{"answerSlack", 8000},
-                           {"cold", 1000000},
-                           {"drainGrace", 250000},
-                           {"fall", 1500000},
-                           {"fallMultiple", 4.0},
-                           {"startCapacity", 0.5}}},
-                         {"classes",
-                          {{{"name", "claim-read"},
-                            {"idempotency", "safe"},
-                            {"slo", 750000},
-                            {"hardLimit", 2000000},
-                            {"gain", 2}}}}};
-        for (const Plan& p : kPlans) {
-            Json plan = {{"name", p.name}, {"unitsPerS", p.rate}, {"peakUnits", p.burst}, {"pays", 1.0}};
-            if (p.ceiling_rate > 0.0)
-                plan.update({{"ceilingRate", p.ceiling_rate},
-                             {"hardBurst", p.ceiling_burst},
-                             {"hardSlack", slack(p)}});
-            settings["tiersOfService"].push_back(plan);
-        }
-        const Json config = {{"name", fmt::format("n{}", g)},
-                             {"listen", fmt::format("127.0.0.1:{}", port)},
-                             {"discovery", workers_->discovery()},
-                             {"seed", fmt::format("{:x}", seed_ + 17)},
-                             {"limits", {{"memory_mb", 192}, {"sockets", 512}}},
-                             {"known", Json::parse(workers_->list())},
-                             {"settings", settings}};
-        const auto path = folder_ / fmt::format("n{}.json", g);
-        std::ofstream(path) << config;
-        std::map<std::string, std::string> environment{{"EDGE_CONFIG", path.string()},
-                                                       {"EDGE_NAME", ""},
-                                                       {"EDGE_LISTEN", ""},
-                                                       {"EDGE_DISCOVERY", ""},
-                                                       {"SHALETRAY_SETTINGS", ""}};
-        if (with_counter) {
-            const auto cue = folder_ / fmt::format("n{}.cue", g);
-            std::ofstream(cue) << fmt::format(
-                "counter: {{\n\tstores: [{{address: \"{}\"}}, {{address: \"{}\"}}]\n\tlease: \"{}s\"\n"
-                "\talone_share: {}\n}}\n",
-                relays_[{g, 0}]->address(), relays_[{g, 1}]->address(), kLease, kAloneShare);
-            environment["SHALETRAY_SETTINGS"] = cue.string();
-        }
-        gateways_[static_cast<std::size_t>(g)] =
-            std::make_unique<Process>(std::vector<std::string>{programs_ + "/shaletray"}, environment,
-                                      (folder_ / fmt::format("n{}.{}.log", g, ++starts_)).string());
-        callers_[g] = nullptr;
-        try_caller(g, fmt::format("127.0.0.1:{}", port));
-    }
-    // Clients come once it is ready, as a front does it.
-    void try_caller(int g, const std::string& address) {
-        auto caller = std::make_shared<Caller>(reactor_, address);
-        caller->ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n", [this, g, address, caller](int status) {
-            if (status == 200) callers_[g] = caller;
-            else after(0.03, [this, g, address] { try_caller(g, address); });
-        });
+        Rig::start_gateway(
+            g, with_counter
+                   ? fmt::format("counter: {{\n\tstores: [{{address: \"{}\"}}, {{address: \"{}\"}}]\n"
+                                 "\tlease: \"{}s\"\n\talone_share: {}\n}}\n",
+                                 relays_[{g, 0}]->address(), relays_[{g, 1}]->address(), kLease, kAloneShare)
+                   : std::string());
     }
 
-    double slack(const Plan& p) const { return std::max(kMostUnits, 0.1 * p.ceiling_burst); }
+    static double slack(const Plan& p) { return slack_of(p.ceiling_burst); }
 
     // ---- load ----
     void arrive(std::size_t id, int load) {
@@ -334,7 +241,7 @@
             "GET /claim-read/{}/{} HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: {:x}\r\nX-Tier: {}\r\n"
             "Cookie: customer={:016x}\r\nX-Call-Terms: units={},spread={},first=0\r\nX-Time-Left: "
             "2000m\r\n\r\n",
-            id, units, ++requests_, kPlans[c.plan].name, id + 1, units, kGateways);
+            id, units, ++requests_, kPlans[static_cast<std::size_t>(c.plan)].name, id + 1, units, kGateways);
         const std::size_t at = phases_.size() - 1;
         callers_[g]->ask(request, [this, at](int status) {
             Phase& of = phases_[at];
@@ -358,45 +265,6 @@
         if (c.ceiling.rate > 0.0) c.ceiling.take(units, now);
         c.quota.take(units, now);
     }
-    // ---- time ----
-    void after(double s, std::function<void()> what) { reactor_.after(from_secs(s), std::move(what)); }
-    static void wait(double s) { std::this_thread::sleep_for(from_secs(s)); }
-    // Runs it on the reactor's thread, to which all state belongs, and waits until it is done.
-    template <class F>
-    auto sync(F what) {
-        std::unique_lock lock(mutex_);
-        std::exception_ptr error;
-        bool done = false;
-        std::optional<decltype(what())> result;
-        wanted_.push_back([&] {
-            try {
-                result.emplace(what());
-            } catch (...) {
-                error = std::current_exception();
-            }
-            done = true;
-        });
-        reactor_.wakeUp();
-        done_.wait(lock, [&] { return done; });
-        if (error) std::rethrow_exception(error);
-        return *result;
-    }
-    void sync_do(const std::function<void()>& what) {
-        sync([&] { return what(), true; });
-    }
-    void start_thread() {
-        reactor_.before_turn([this](bool) {
-            const std::lock_guard lock(mutex_);
-            for (; !wanted_.empty(); wanted_.pop_front()) wanted_.front()();
-            done_.notify_all();
-        });
-        thread_ = std::thread([this] { reactor_.run(); });
-    }
-    double cpu() const {
-        double all = 0.0;
-        for (const auto& g : gateways_) all += g ? g->cpu() : 0.0;
-        return all;
-    }
     std::uint64_t calls() {
         sync_do([this] {
             for (auto& g : gateways_) g->signal(SIGUSR1);
@@ -411,12 +279,7 @@
         return all;
     }
     void phase(const std::string& name, const std::function<void()>& what, double seconds = 0.0) {
-        const auto ready = [this] {
-            int there = 0;
-            for (const auto& [g, caller] : callers_) there += caller != nullptr;
-            return there == kGateways;
-        };
-        for (int k = 0; k < 300 && !sync(ready); ++k) wait(0.02);
+        wait_for([this] { return all_ready(); }, 6.0);
         const bool healthy = name == "healthy";
         const std::uint64_t calls_before = healthy ? calls() : 0;
         const TimePoint calls_at = clock_.now();
@@ -473,7 +336,7 @@
     }
 
     int report() {
-        Json out = {{"experiment", "counter"}, {"seed", seed_}};
+        Json out = {{"experiment", "counter"}, {"seed", s_.seed}};
         fmt::print("{:<20} {:>7} {:>7} {:>7} {:>7} {:>8} {:>9} {:>8}\n", "phase", "even", "one", "flood",
                    "small", "requests", "unserved", "cpu us");
         std::uint64_t asked = 0, answered = 0, none = 0;
@@ -497,7 +360,7 @@
         std::uint64_t lost = 0;
         for (const Phase& p : phases_) lost += p.none;
         for (const Customer& c : customers_) {
-            const Plan& p = kPlans[c.plan];
+            const Plan& p = kPlans[static_cast<std::size_t>(c.plan)];
             if (p.ceiling_rate > 0.0) {
                 const double allowed = slack(p) + kSlackSeconds * p.ceiling_rate;
                 overshoot = std::max(overshoot, -c.ceiling.lowest / allowed);
@@ -551,23 +414,11 @@
         return broken.empty() ? 0 : 1;
     }
 
-    std::string programs_;
     double seconds_;
     std::mt19937_64 random_;
-    std::uint64_t seed_;
-    files::path folder_;
-    SystemClock clock_;
-    Timers timers_;
-    Reactor reactor_{clock_, timers_};
-    std::mutex mutex_;
-    std::condition_variable done_;
-    std::deque<std::function<void()>> wanted_;    // to be done on the reactor's thread, which owns all below
-    std::thread thread_;
-    std::unique_ptr<Workers> workers_;
     std::vector<int> ports_;
-    std::vector<std::unique_ptr<Process>> stores_, gateways_;
+    std::vector<std::unique_ptr<Process>> stores_;
     std::map<std::pair<int, std::size_t>, std::unique_ptr<Relay>> relays_;
-    std::map<int, std::shared_ptr<Caller>> callers_;
     std::shared_ptr<Caller> leaving_;
     std::uint64_t excused_ = 0;    // were open at the gateway that was killed
     std::vector<Customer> customers_;
@@ -579,33 +430,16 @@
     std::vector<Moment> skewed_;    // of the customers that come through one gateway
     TimePoint returned_{};
     std::uint64_t requests_ = 0;
-    int starts_ = 0, load_ = 0;
+    int load_ = 0;
     bool calm_ = false, loaded_ = false, loading_ = false, counted_ = false, orderly_ = true;
 };
 
-double environment_number(const char* name, double fallback, double least, double most) {
-    const char* const text = std::getenv(name);
-    if (text == nullptr || *text == '\0') return fallback;
-    char* end = nullptr;
-    const double value = std::strtod(text, &end);
-    if (*end != '\0' || !(value >= least && value <= most))
-        throw std::runtime_error(fmt::format("{} must be a number of {} to {}", name, least, most));
-    return value;
-}
-
 }    // namespace
 }    // namespace shaletray::lab
 
 int main(int, char** argv) {
-    try {
-        signal(SIGPIPE, SIG_IGN);
-        const std::string programs = std::filesystem::absolute(argv[0]).parent_path().string();
-        const auto seed = static_cast<std::uint64_t>(shaletray::lab::environment_number("SEED", 1, 0, 1e9));
-        const double seconds = shaletray::lab::environment_number("SECONDS_PER_PHASE", 4.2, 2, 600);
-        shaletray::lab::Experiment experiment(programs, seed, seconds);
-        return experiment.run();
-    } catch (const std::exception& error) {
-        fmt::print(stderr, "{}\n", error.what());
-        return 2;
-    }
+    return shaletray::lab::experiment_main(
+        argv, 4.2, [](std::string programs, std::uint64_t seed, double seconds) {
+            return shaletray::lab::Experiment(std::move(programs), seed, seconds).run();
+        });
 }
--- a/src/limits/ledger.cpp
+++ b/src/limits/ledger.cpp
@@ -336,11 +336,12 @@
     if (const LedgerTerms* more = extra(c->plan); more != nullptr && more->account) {
         if (Customer* owner = find(more->owner)) {
             owner->ceiling.refill(now);
-            owner->ceiling.level -= units;
+            if (plan(*owner).ceiling_rate > 0.0) owner->ceiling.level -= units;
         }
         return;
     }
-    c->ceiling.level -= units;
+    // Where there is no ceiling, nothing is owed to one that comes with a later plan.
+    if (plan(*c).ceiling_rate > 0.0) c->ceiling.level -= units;
 }
 
 // ---- plans that change in service ----
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -49,10 +49,19 @@
         throw shaletray::BadConfig("too few descriptors may be opened");
 }
 
-// A file that cannot be used changes nothing: the gateway goes on as it is.
+// The operator's own file, where one is named. Without it nothing of what it sets is on.
+shaletray::settings::OperatorSettings operator_settings() {
+    const char* const path = std::getenv("SHALETRAY_SETTINGS");
+    if (path == nullptr || *path == '\0') return {};
+    return shaletray::settings::load_operator_settings(path);
+}
+
+// A file that cannot be used changes nothing, nor does the other one then: the gateway goes on as it is.
 void reload(shaletray::Service& service) {
     try {
-        if (!service.reload(shaletray::config_from_file()))
+        const shaletray::Config config = shaletray::config_from_file();
+        const std::size_t made = service.reload(operator_settings());
+        if (!service.reload(config) && made == 0)
             shaletray::log(shaletray::LogLevel::Info, "the configuration holds nothing new to apply");
     } catch (const std::exception& error) {
         service.reload_failed();
@@ -60,13 +69,6 @@
     }
 }
 
-// The operator's own file, where one is named. Without it nothing of what it sets is on.
-shaletray::settings::OperatorSettings operator_settings() {
-    const char* const path = std::getenv("SHALETRAY_SETTINGS");
-    if (path == nullptr || *path == '\0') return {};
-    return shaletray::settings::load_operator_settings(path);
-}
-
 int serve() {
     if (const char* level = std::getenv("SHALETRAY_LOG");
         level != nullptr && !shaletray::set_log_level(std::string_view(level))) {
--- a/src/plans/book.cpp
+++ b/src/plans/book.cpp
@@ -479,6 +479,20 @@
     }
 }
 
+bool Book::says(const Body& body) const {
+    const std::uint64_t newest = version_of(subject_of(body));
+    if (newest > 0) return log_[newest - 1].body == body;
+    // Nobody ever said anything: the platform's own plans are as they are, and customers have none.
+    if (const auto* d = std::get_if<Define>(&body)) {
+        const int own = platform_index(d->plan);
+        if (own < 0) return false;
+        const valehall::PlanSettings& p = s_.platform[static_cast<std::size_t>(own)];
+        return d->terms == Terms{p.rate, p.burst, p.ceiling_rate, p.ceiling_burst, p.ceiling_slack};
+    }
+    const auto* a = std::get_if<Assign>(&body);
+    return a != nullptr && a->plan.empty();
+}
+
 Book::Effects Book::effects_of(const Change& c) const {
     Effects e;
     const auto customer_of = [&](const std::string& id) {
--- a/src/plans/book.h
+++ b/src/plans/book.h
@@ -80,6 +80,8 @@
     std::uint64_t version_of(const std::string& subject) const;
 
     InForce in_force(CustomerId customer, int asked_plan, TimePoint at) const;
+    // Whether the newest word on a body's subject is just that, in force already or not.
+    bool says(const Body& body) const;
     // A plan's own terms, or its successor's; nothing where it has none at that time.
     std::optional<InForce> terms(const std::string& plan, TimePoint at) const { return terms_of(plan, at); }
     // What the book assigns, where the file lets it win or not.
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -166,9 +166,43 @@
         control_ =
             std::make_unique<control_socket::Server>(std::move(office), reactor_, s.control, s.control_mode);
     }
+    keeper_ = s.keeper;
+    make_wanted(s);
     changes_due();
 }
 
+// What the operator's file says, it says at each start and reload; what it leaves out is as the book has it.
+std::size_t Service::make_wanted(const settings::PlansSettings& s) {
+    if (!keeper_) return 0;
+    std::vector<plans::Body> wanted;
+    for (const settings::PlanFigures& p : s.plans)
+        wanted.push_back(plans::Define{
+            p.plan, p.like, {p.rate, p.burst, p.ceiling_rate, p.ceiling_burst, p.ceiling_slack}});
+    for (const auto& [customer, plan] : s.customers)
+        wanted.push_back(plans::Assign{plans::read_customer(customer).value(), plan});
+    std::size_t made = 0;
+    for (const plans::Body& body : wanted) {
+        if (desk_->book().says(body)) continue;
+        plans::Proposal p;
+        p.body = body;
+        p.against = desk_->book().version_of(plans::subject_of(body));
+        p.author = "the operator's file";
+        const auto outcome = desk_->book().propose(p, clock_.now());
+        if (const auto* no = std::get_if<plans::Refusal>(&outcome)) {
+            log(LogLevel::Error, "the operator's file wants {} otherwise, which is refused: {}",
+                plans::subject_of(body), no->text);
+            continue;
+        }
+        make_change(std::get<plans::Change>(outcome));
+        ++made;
+    }
+    return made;
+}
+
+std::size_t Service::reload(const settings::OperatorSettings& changed) {
+    return desk_ && changed.plans ? make_wanted(*changed.plans) : 0;
+}
+
 // An entry of the book, made here or heard of: kept first, then it counts.
 void Service::make_change(const plans::Change& change) {
     plans::Book::check_next(desk_->book(), change);
--- a/src/service/service.h
+++ b/src/service/service.h
@@ -45,6 +45,9 @@
     void stop();
     // Takes over what may change in service: discovery's address. False where nothing differs.
     bool reload(const Config& changed);
+    // Takes over what the operator's file wants of plans, where this gateway keeps the book; everything else
+    // in it takes a restart. How many changes were made.
+    std::size_t reload(const settings::OperatorSettings& changed);
     void reload_failed() { ++counters_.reloads_failed; }
 
     std::string address() const { return listener_->address(); }
@@ -58,6 +61,7 @@
     void look_after_stop();
     void begin_plans(const settings::PlansSettings& settings);
     void make_change(const plans::Change& change);
+    std::size_t make_wanted(const settings::PlansSettings& settings);
     void changes_due();
 
     Config config_;
@@ -79,6 +83,7 @@
     std::unique_ptr<DiscoveryWatch> watch_;
     std::unique_ptr<counter::Client> shared_counter_;
     std::unique_ptr<control_socket::Server> control_;
+    bool keeper_ = false;
     Timers::Id changes_timer_ = 0;
     LogGate gate_{std::chrono::minutes(1)};
     bool listed_ = false;
--- a/src/settings/operator_settings.cpp
+++ b/src/settings/operator_settings.cpp
@@ -115,6 +115,14 @@
 
 PlansSettings plans_of(const Record& r) {
     PlansSettings p;
+    for (const ValuePtr& item : r.at("plans")->items) {
+        const Record one(item);
+        p.plans.push_back({one.text("plan"), one.has("like") ? one.text("like") : one.text("plan"),
+                           one.number("rate"), one.number("burst"), one.number("ceiling_rate"),
+                           one.number("ceiling_burst"), one.number("ceiling_slack")});
+    }
+    for (const ValuePtr& item : r.at("customers")->items)
+        p.customers.emplace_back(Record(item).text("customer"), Record(item).text("plan"));
     p.book = r.text("book");
     p.keeper = r.truth("keeper");
     p.book_wins = r.text("precedence") == "book";
--- a/src/settings/operator_settings.h
+++ b/src/settings/operator_settings.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "settings/value.h"
@@ -27,8 +28,15 @@
     std::size_t most_customers = 0, most_rows = 0;
 };
 
+struct PlanFigures {
+    std::string plan, like;    // like: the plan itself where the file names none
+    double rate = 0.0, burst = 0.0, ceiling_rate = 0.0, ceiling_burst = 0.0, ceiling_slack = 0.0;
+};
+
 struct PlansSettings {
-    std::string book;    // file
+    std::vector<PlanFigures> plans;                                // as they should be
+    std::vector<std::pair<std::string, std::string>> customers;    // sixteen hexadecimal digits, and the plan
+    std::string book;                                              // file
     bool keeper = false;
     bool book_wins = false;
     std::string control;    // path of the socket; empty: none
--- a/src/settings/schema.cue
+++ b/src/settings/schema.cue
@@ -25,7 +25,24 @@
 	most_rows: *1024 | int & >=1 & <=10000
 }
 
+#Plan: {
+	plan: string & =~"^[A-Za-z0-9_.-]{1,64}$"
+	like?: string & !=""
+	rate: number & >=0 & <=1000000000
+	burst: number & >=0 & <=1000000000
+	ceiling_rate: *0 | number & >=0 & <=1000000000
+	ceiling_burst: *0 | number & >=0 & <=1000000000
+	ceiling_slack: *0 | number & >=0 & <=1000000000
+}
+
+#Assignment: {
+	customer: string & =~"^[0-9a-f]{16}$"
+	plan: string
+}
+
 #Plans: {
+	plans: *[] | [...#Plan]
+	customers: *[] | [...#Assignment]
 	book: string & !=""
 	keeper: bool
 	precedence: *"request" | "book"
--- a/src/usage/shaletray_usage.cpp
+++ b/src/usage/shaletray_usage.cpp
@@ -132,15 +132,15 @@
         collector_.prune(sinks_);
         return good;
     }
-    int run() {
+    int run(bool all) {
         log(LogLevel::Info, "exports use as {} from {}", collector_.exporter(), s_.journal);
         while (!stop_wanted) {
-            round(false);
+            round(all);
             const auto until = std::chrono::steady_clock::now() + s_.every;
             while (!stop_wanted && std::chrono::steady_clock::now() < until)
                 std::this_thread::sleep_for(20ms);
         }
-        round(false);
+        round(all);
         return EXIT_SUCCESS;
     }
     int once(bool all) {
@@ -290,8 +290,10 @@
     bool all = false;
     int most = 20;
     app.add_option("--settings", file, "The operator's file; SHALETRAY_SETTINGS else");
+    app.fallthrough();    // --settings may stand behind the sub-commands, which take this over from here
     CLI::App* const usage = app.add_subcommand("usage", "Use records")->require_subcommand(1);
     CLI::App* const running = usage->add_subcommand("run", "Collect and export until stopped");
+    running->add_flag("--all", all, "Also minutes that are not over: more lines, sooner");
     CLI::App* const exporting = usage->add_subcommand("export", "Collect and export once");
     exporting->add_flag("--all", all, "Also minutes that are not over");
     CLI::App* const tailing = usage->add_subcommand("tail", "The newest exported lines");
@@ -313,7 +315,7 @@
     struct sigaction action {};
     action.sa_handler = [](int) { stop_wanted = true; };
     for (const int signal : {SIGTERM, SIGINT}) sigaction(signal, &action, nullptr);
-    if (running->parsed()) return Exporter(s).run();
+    if (running->parsed()) return Exporter(s).run(all);
     if (exporting->parsed()) return Exporter(s).once(all);
     if (reconciling->parsed()) return Exporter(s).reconcile();
     if (tailing->parsed()) return tail(s, most);
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -80,6 +80,69 @@
     bool refuse_connections_ = false;
 };
 
+// Plans change in service, and use is kept.
+class BilledTest : public EngineTest, public UseKeeper {
+protected:
+    BilledTest() {
+        clock_.time += 100s;    // the ledger began long ago: ceilings' stores are full
+        engine_.share_by(ledger_);
+        engine_.rule_by(desk_);
+        engine_.keep_use_in(*this);
+    }
+    static valehall::Settings settings() { return parse_config(test::config_text("127.0.0.1:1")).settings; }
+    static limits::LedgerSettings ledger_settings() {
+        limits::LedgerSettings l;
+        l.plans = settings().plans;
+        l.most_units = settings().most_units;
+        l.alone_share = 0.0;
+        return l;
+    }
+    static plans::Book book() {
+        plans::BookSettings b;
+        b.platform = settings().plans;
+        b.book_wins = true;
+        b.lead = 20ms;
+        return plans::Book(b);
+    }
+    void assign(const std::string& plan) {
+        plans::Proposal p;
+        p.body = plans::Assign{valehall::CustomerId{}, plan};
+        p.against = desk_.book().version();
+        p.author = "test";
+        desk_.take(std::get<plans::Change>(desk_.book().propose(p, clock_.time)), clock_.time);
+    }
+    void admitted(const Admission& a) override {
+        EXPECT_EQ(sent_.size(), sends_before_) << "kept before its first attempt is sent";
+        kept_.push_back(a);
+    }
+    std::size_t sends_before_ = 0;
+    limits::Ledger ledger_{ledger_settings(), clock_.time};
+    plans::Desk desk_{book(), ledger_, clock_.time};
+    std::vector<Admission> kept_;
+};
+
+TEST_F(BilledTest, ARequestStaysUnderThePlanItWasTakenUnderThroughAllItsAttempts) {
+    const std::string other = settings().plans.back().name;
+    const int last = static_cast<int>(settings().plans.size()) - 1;
+    assign(other);
+    ask();
+    ASSERT_EQ(kept_.size(), 1U);
+    EXPECT_EQ(kept_[0].plan_index, 0) << "the change is not in force yet";
+    const std::size_t before = sent_.size();
+    clock_.time += 20ms;
+    engine_.allowances_due();
+    clock_.time += 300ms;    // the ceiling that comes with the new plan begins with nothing, and owes nothing
+    sends_before_ = sent_.size();
+    ask();
+    ASSERT_EQ(kept_.size(), 2U);
+    EXPECT_EQ(kept_[1].plan_index, last);
+    // A second attempt of the first, after the change: no second record, and no word of the other plan.
+    engine_.attempt_ended(sent_[before - 1], Outcome::ConnectFailed);
+    pass(100ms);
+    EXPECT_EQ(kept_.size(), 2U);
+    EXPECT_GE(sent_.size(), 3U);
+}
+
 TEST_F(EngineTest, AGoodAnswerIsTheOneFinalAnswer) {
     const RequestId id = ask();
     ASSERT_EQ(sent_.size(), 1U);
--- /dev/null
+++ b/tests/faulty_files.h
@@ -0,0 +1,53 @@
+// Files that do what they are asked, but for one step: there they end the process, or answer an error.
+#pragma once
+
+#include <cerrno>
+#include <csignal>
+
+#include "journal/files.h"
+
+namespace shaletray::journal::test {
+
+class FaultyFiles : public Files {
+public:
+    enum class Way { None, Kill, Error };
+    void at(int step, Way way) {
+        step_ = step;
+        way_ = way;
+        count = 0;
+    }
+    void pass(const char* = nullptr) {
+        if (++count != step_ || way_ == Way::None) return;
+        if (way_ == Way::Kill) raise(SIGKILL);
+        throw FileError(ENOSPC, "a fault of the test");
+    }
+    std::unique_ptr<File> open(const std::string& path, int flags) override {
+        pass();
+        return real.open(path, flags);
+    }
+    void write(File& file, std::string_view bytes) override {
+        pass();
+        real.write(file, bytes.substr(0, bytes.size() / 2));
+        pass();    // half of it is there
+        real.write(file, bytes.substr(bytes.size() / 2));
+    }
+    void reserve(File& file, std::size_t size) override { pass(), real.reserve(file, size); }
+    std::unique_ptr<Mapping> map(File& file, std::size_t size, bool writable) override {
+        pass();
+        return real.map(file, size, writable);
+    }
+    void sync(File& file) override { pass(), real.sync(file); }
+    void sync_folder(const std::string& path) override { pass(), real.sync_folder(path); }
+    void rename(const std::string& from, const std::string& to) override { pass(), real.rename(from, to); }
+    void remove(const std::string& path) override { pass(), real.remove(path); }
+    void truncate(File& file, std::size_t size) override { pass(), real.truncate(file, size); }
+    bool lock(File& file) override { return real.lock(file); }
+    int count = 0;
+
+private:
+    Files& real = real_files();
+    int step_ = 0;
+    Way way_ = Way::None;
+};
+
+}    // namespace shaletray::journal::test
--- /dev/null
+++ b/tests/service/book_file_test.cpp
@@ -0,0 +1,195 @@
+// Where the plan book lasts: kills and errors at each step, torn and spoilt lines, two processes.
+#include "service/book_file.h"
+
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "../faulty_files.h"
+#include "journal/tallies.h"
+#include "settings/operator_settings.h"
+
+namespace shaletray {
+namespace {
+
+using journal::test::FaultyFiles;
+using namespace std::chrono_literals;
+
+const plans::TimePoint kNow = plans::TimePoint{} + 1'700'000'000s;
+
+plans::Book new_book() {
+    plans::BookSettings b;
+    b.platform.resize(1);
+    b.platform[0].name = "equipo";
+    b.platform[0].rate = 4.0;
+    b.platform[0].burst = 16.0;
+    return plans::Book(b);
+}
+
+struct Place : testing::Test {
+    Place() {
+        char name[] = "/tmp/shaletray-book-XXXXXX";
+        folder = mkdtemp(name);
+        path = folder + "/book";
+    }
+    ~Place() override { std::filesystem::remove_all(folder); }
+    static plans::Change next(const plans::Book& book) {
+        plans::Proposal p;
+        p.body = plans::Assign{plans::CustomerId{book.version() + 1}, "equipo"};
+        p.author = "test";
+        return std::get<plans::Change>(book.propose(p, kNow));
+    }
+    void make(std::size_t n) {
+        plans::Book book = new_book();
+        BookFile file(path, book, false);
+        for (std::size_t i = 0; i < n; ++i) {
+            const plans::Change c = next(book);
+            file.append(c);
+            book.apply(c);
+        }
+    }
+    std::string folder, path;
+};
+
+TEST_F(Place, ReadsBackWhatWasMadeAndKeepsOthersOut) {
+    make(5);
+    plans::Book book = new_book(), other = new_book();
+    BookFile file(path, book, false);
+    EXPECT_EQ(book.version(), 5u);
+    EXPECT_THROW(BookFile(path, other, false), std::runtime_error);
+    EXPECT_THROW(BookFile(folder + "/no/where", other, false), std::exception);
+}
+
+TEST_F(Place, DropsALineThatWasCutShort) {
+    make(3);
+    std::ofstream(path, std::ios::app) << R"({"kind":"assign","cust)";
+    {
+        plans::Book book = new_book();
+        BookFile file(path, book, false);
+        EXPECT_EQ(book.version(), 3u);
+        EXPECT_TRUE(file.loaded().torn);
+        const plans::Change c = next(book);
+        file.append(c);
+    }
+    plans::Book book = new_book();
+    BookFile file(path, book, false);
+    EXPECT_EQ(book.version(), 4u);
+    EXPECT_FALSE(file.loaded().torn);
+}
+
+TEST_F(Place, RefusesASpoiltBookOrServesWhatIsGoodOfIt) {
+    make(4);
+    std::string text = journal::real_files().read(path);
+    text[text.find('\n') + 20] ^= 1;    // in the second line
+    std::ofstream(path, std::ios::trunc) << text;
+    plans::Book book = new_book();
+    try {
+        BookFile file(path, book, false);
+        ADD_FAILURE();
+    } catch (const std::runtime_error& error) {
+        EXPECT_NE(std::string(error.what()).find(path + ":2: "), std::string::npos) << error.what();
+    }
+    plans::Book served = new_book();
+    BookFile file(path, served, true);
+    EXPECT_EQ(served.version(), 1u);
+    EXPECT_THROW(file.append(next(served)), std::runtime_error);
+    EXPECT_EQ(journal::real_files().read(path), text) << "it stays as it was found";
+}
+
+TEST_F(Place, KeepsNothingOfAChangeThatCouldNotBeWritten) {
+    for (int step = 1; step <= 3; ++step) {
+        std::filesystem::remove(path);
+        make(2);
+        FaultyFiles files;
+        plans::Book book = new_book();
+        {
+            BookFile file(path, book, false, files);
+            files.at(step, FaultyFiles::Way::Error);
+            if (step < 3) {
+                EXPECT_THROW(file.append(next(book)), std::runtime_error);
+                files.at(0, FaultyFiles::Way::None);
+            }
+            const plans::Change c = next(book);
+            file.append(c);
+            book.apply(c);
+        }
+        plans::Book again = new_book();
+        BookFile file(path, again, false);
+        EXPECT_EQ(again.version(), 3u) << step;
+        EXPECT_EQ(again.chain(), book.chain());
+    }
+}
+
+TEST_F(Place, SurvivesAKillAtEachStepOfAnAppend) {
+    for (int step = 1; step <= 2; ++step) {
+        std::filesystem::remove(path);
+        make(2);
+        const pid_t child = fork();
+        if (child == 0) {
+            FaultyFiles files;
+            plans::Book book = new_book();
+            BookFile file(path, book, false, files);
+            files.at(step, FaultyFiles::Way::Kill);
+            file.append(next(book));
+            _exit(0);
+        }
+        int status = 0;
+        waitpid(child, &status, 0);
+        ASSERT_TRUE(WIFSIGNALED(status));
+        plans::Book book = new_book();
+        BookFile file(path, book, false);
+        EXPECT_EQ(book.version(), 2u);
+        file.append(next(book));
+    }
+}
+
+TEST_F(Place, TalliesLastThroughAKill) {
+    const pid_t child = fork();
+    if (child == 0) {
+        journal::Tallies tallies(path);
+        for (int i = 1; i <= 100; ++i) tallies.put(7, i);
+        tallies.put(9, 1);
+        tallies.drop(9);
+        raise(SIGKILL);
+    }
+    int status = 0;
+    waitpid(child, &status, 0);
+    journal::Tallies tallies(path);
+    EXPECT_EQ(tallies.read(), (std::map<std::uint64_t, std::int64_t>{{7, 100}}));
+    EXPECT_THROW(journal::Tallies again(path), std::runtime_error);
+    for (std::uint64_t key = 100; key < 100 + journal::Tallies::kSlots - 1; ++key)
+        EXPECT_TRUE(tallies.put(key, 1));
+    EXPECT_FALSE(tallies.put(1, 1));
+    std::ofstream(folder + "/other") << std::string(100, 'x');
+    EXPECT_THROW(journal::Tallies(folder + "/other"), std::runtime_error);
+}
+
+TEST(Wanted, TheBookKnowsWhatItSaysAlready) {
+    plans::Book book = new_book();
+    EXPECT_TRUE(book.says(plans::Define{"equipo", "equipo", {4.0, 16.0, 0, 0, 0}}));
+    EXPECT_FALSE(book.says(plans::Define{"equipo", "equipo", {5.0, 16.0, 0, 0, 0}}));
+    EXPECT_TRUE(book.says(plans::Assign{plans::CustomerId{1}, ""}));
+    const plans::Change c = Place::next(book);
+    EXPECT_FALSE(book.says(c.body));
+    book.apply(c);
+    EXPECT_TRUE(book.says(c.body)) << "though it is not in force yet";
+    const auto s = settings::read_operator_settings(
+        "plans: {book: \"b\", keeper: true, plans: [{plan: \"equipo\", rate: 5, burst: 20}], customers: "
+        "[{customer: "
+        "\"0000000000000007\", plan: \"equipo\"}]}",
+        "t.cue");
+    EXPECT_EQ(s.plans->plans.at(0).like, "equipo");
+    EXPECT_EQ(s.plans->customers.at(0).first, "0000000000000007");
+    EXPECT_THROW(
+        settings::read_operator_settings("plans: {book: \"b\", keeper: true, precedence: \"mine\"}", "t.cue"),
+        settings::BadSettingsFile);
+    EXPECT_THROW(settings::read_operator_settings(
+                     "usage: {journal: \"j\", store: \"s\", endpoint: \"https://a/\"}", "t.cue"),
+                 settings::BadSettingsFile);
+}
+
+}    // namespace
+}    // namespace shaletray
