Begin the laboratory: the engine in virtual time on several threads, scenarios and comparisons

Need: what a change or a failure does must be measurable in the repository by anybody, on 3 gateways and on 300, without the operators' kit.

The reader of settled records is shared (src/settings/record). A gateway that starts with a plan book waits up to 1 s for the board before it is ready, and nobody is billed for an attempt that came too late to be sent.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -197,7 +197,7 @@
         return;
     }
     const AttemptId id{action.request, static_cast<int>(request->attempts.size())};
-    if (id.number == 0) admit(*request, now);
+    if (id.number == 0) admit(*request, now, !moot);
     request->attempts.push_back({action.host, now});
     ++request->out;
     Attempt& attempt = request->attempts.back();
@@ -253,7 +253,7 @@
 // ---- requests ----
 
 // A request is about to be sent for the first time: it counts from here on, whatever becomes of it.
-void Engine::admit(const Request& request, TimePoint now) {
+void Engine::admit(const Request& request, TimePoint now, bool is_sent) {
     const Arrival& a = request.arrival;
     if (desk_ != nullptr) {
         told_.clear();
@@ -262,7 +262,7 @@
     } else if (ledger_ != nullptr) {
         ledger_->admitted(a.customer, a.units, now);
     }
-    if (use_ == nullptr) return;
+    if (use_ == nullptr || !is_sent) return;    // nobody is billed for what no server gets
     const plans::Desk::Ruling& r = request.ruling;
     use_->admitted({a.customer, a.class_index, r.plan_index, a.units, r.plan_version, r.reservation, now});
 }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -152,7 +152,7 @@
     void perform(const valehall::Probe& action);
     void perform(const valehall::TellPeer& action);
     void perform(const valehall::Subscribe& action);
-    void admit(const Request& request, TimePoint now);
+    void admit(const Request& request, TimePoint now, bool is_sent);
     Front* close(Request& request);
     Front* drop(RequestId id);
     void end(AttemptId id, Attempt& attempt, Outcome outcome, LoadReport&& report, bool final);
--- /dev/null
+++ b/src/lab/shaletray_lab.cpp
@@ -0,0 +1,233 @@
+// shaletray_lab: the laboratory, a program of its own beside the gateway. `shaletray lab ...` runs it.
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "lab/scenario.h"
+
+namespace shaletray::lab {
+namespace {
+
+using Json = nlohmann::json;
+
+struct Line {
+    std::vector<std::string> files;
+    std::string folder = "lab/scenarios", other;
+    std::uint64_t seed = 1;
+    int seeds = 5;
+    std::size_t threads = 0;    // 0: as many as are worth it
+    bool json = false;
+};
+
+Json figures_json(const Figures& f) {
+    Json out = {{"requests", f.requests},
+                {"tries", f.tries},
+                {"served", f.served},
+                {"refused", f.refused},
+                {"failed", f.failed},
+                {"left", f.left},
+                {"attempts", f.attempts},
+                {"called_off", f.called_off},
+                {"events", f.events},
+                {"customers_seen", f.customers_seen},
+                {"digest", fmt::format("{:016x}", f.digest)}};
+    for (const std::string& name : figure_names())
+        if (const auto value = figure_of(f, name)) out["figures"][name] = *value;
+    for (const auto& [name, rule] : f.rules)
+        out["rules"][name] = {{"checked", rule.checked}, {"broken", rule.broken}, {"first", rule.first}};
+    out["by_second"] = {
+        {"served", f.served_by_second}, {"refused", f.refused_by_second}, {"failed", f.failed_by_second}};
+    return out;
+}
+
+// Prints what came of one run. False where a rule or a bound broke.
+bool told(const ScenarioFile& file, const Figures& f, double took, bool json) {
+    bool kept = f.kept();
+    Json verdicts = Json::array();
+    if (!json) {
+        fmt::print("{} (seed {}): {} requests in {:.1f} s, {} events, digest {:016x}\n", file.scenario.name,
+                   file.scenario.seed, f.requests, took, f.events, f.digest);
+        for (const std::string& name : figure_names())
+            if (const auto value = figure_of(f, name)) fmt::print("  {:<22} {:>12.4f}\n", name, *value);
+    }
+    for (const auto& [name, rule] : f.rules) {
+        if (json) continue;
+        if (rule.checked == 0) fmt::print("  rule {:<17} not checked: nothing called for it\n", name);
+        else if (rule.broken == 0) fmt::print("  rule {:<17} kept, {} times\n", name, rule.checked);
+        else
+            fmt::print("  rule {:<17} BROKEN {} of {} times, first: {}\n", name, rule.broken, rule.checked,
+                       rule.first);
+    }
+    for (const Bound& bound : file.bounds) {
+        const Verdict verdict = judge(bound, f);
+        kept = kept && verdict != Verdict::Broken;
+        const std::string range = fmt::format("{}{}", bound.least ? fmt::format(" >= {}", *bound.least) : "",
+                                              bound.most ? fmt::format(" <= {}", *bound.most) : "");
+        const char* const word = verdict == Verdict::Kept     ? "kept"
+                                 : verdict == Verdict::Broken ? "BROKEN"
+                                                              : "not checked: nothing called for it";
+        if (!json) fmt::print("  bound {}{}: {}\n", bound.figure, range, word);
+        verdicts.push_back({{"bound", bound.figure + range}, {"verdict", word}});
+    }
+    if (json) {
+        Json out = figures_json(f);
+        out.update({{"scenario", file.scenario.name},
+                    {"seed", file.scenario.seed},
+                    {"bounds", verdicts},
+                    {"kept", kept}});
+        fmt::print("{}\n", out.dump());
+    }
+    return kept;
+}
+
+Figures run(const Scenario& s, const Line& line) {
+    const std::size_t cores = std::clamp<std::size_t>(std::thread::hardware_concurrency(), 1, 16);
+    return lab::run(s, line.threads > 0 ? line.threads : fitting_threads(s, cores));
+}
+
+Figures timed(const Scenario& s, const Line& line, double& took) {
+    const auto began = std::chrono::steady_clock::now();
+    Figures f = run(s, line);
+    took = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
+    return f;
+}
+
+int run_files(const Line& line) {
+    bool kept = true;
+    for (const std::string& path : line.files) {
+        ScenarioFile file = load_scenario(path);
+        file.scenario.seed = line.seed;
+        double took = 0.0;
+        const Figures f = timed(file.scenario, line, took);
+        kept = told(file, f, took, line.json) && kept;
+    }
+    return kept ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+// One scenario over many seeds: each figure's spread.
+int sweep(const Line& line) {
+    bool kept = true;
+    for (const std::string& path : line.files) {
+        ScenarioFile file = load_scenario(path);
+        std::map<std::string, std::vector<double>> all;
+        for (int i = 0; i < line.seeds; ++i) {
+            file.scenario.seed = line.seed + static_cast<std::uint64_t>(i);
+            const Figures f = run(file.scenario, line);
+            for (const std::string& name : figure_names())
+                if (const auto value = figure_of(f, name)) all[name].push_back(*value);
+            bool good = f.kept();
+            for (const Bound& bound : file.bounds) good = good && judge(bound, f) != Verdict::Broken;
+            if (!good)
+                fmt::print("{}: seed {} breaks a rule or a bound; see it with `run --seed {}`\n", path,
+                           file.scenario.seed, file.scenario.seed);
+            kept = kept && good;
+        }
+        fmt::print("{} over {} seeds\n  {:<22} {:>12} {:>12} {:>12}\n", file.scenario.name, line.seeds,
+                   "figure", "least", "median", "most");
+        for (auto& [name, values] : all) {
+            std::sort(values.begin(), values.end());
+            fmt::print("  {:<22} {:>12.4f} {:>12.4f} {:>12.4f}\n", name, values.front(),
+                       values[values.size() / 2], values.back());
+        }
+    }
+    return kept ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+// Two scenarios on the same seeds.
+int compare(const Line& line) {
+    if (line.files.size() != 2) throw std::runtime_error("compare takes two scenarios");
+    std::map<std::string, std::vector<double>> values[2];
+    for (int side = 0; side < 2; ++side) {
+        ScenarioFile file = load_scenario(line.files[static_cast<std::size_t>(side)]);
+        for (int i = 0; i < line.seeds; ++i) {
+            file.scenario.seed = line.seed + static_cast<std::uint64_t>(i);
+            const Figures f = run(file.scenario, line);
+            for (const std::string& name : figure_names())
+                values[side][name].push_back(figure_of(f, name).value_or(std::nan("")));
+        }
+    }
+    fmt::print("{:<22} {:>12} {:>12} {:>12} {:>12}\n", "figure", "first", "second", "difference", "+- (95%)");
+    Json out = Json::object();
+    for (const std::string& name : figure_names()) {
+        std::vector<double> a, b;    // of the seeds in which both have it
+        for (std::size_t i = 0; i < values[0][name].size(); ++i) {
+            if (std::isnan(values[0][name][i]) || std::isnan(values[1][name][i])) continue;
+            a.push_back(values[0][name][i]);
+            b.push_back(values[1][name][i]);
+        }
+        if (a.empty()) {
+            fmt::print("{:<22} not checked: nothing called for it\n", name);
+            continue;
+        }
+        const Difference d = paired(a, b);
+        const auto mean = [](const std::vector<double>& of) {
+            return std::accumulate(of.begin(), of.end(), 0.0) / static_cast<double>(of.size());
+        };
+        fmt::print("{:<22} {:>12.4f} {:>12.4f} {:>+12.4f} {:>12.4f}  {}\n", name, mean(a), mean(b), d.mean,
+                   d.half_width,
+                   d.seeds < 2 ? "one seed tells nothing"
+                   : d.clear() ? ""
+                               : "no difference that shows");
+        out[name] = {{"difference", d.mean}, {"half_width", d.half_width}, {"clear", d.clear()}};
+    }
+    if (line.json) fmt::print("{}\n", out.dump());
+    return EXIT_SUCCESS;
+}
+
+int list(const Line& line) {
+    std::vector<std::string> files;
+    for (const auto& entry : std::filesystem::directory_iterator(line.folder))
+        if (entry.path().extension() == ".cue") files.push_back(entry.path().string());
+    std::sort(files.begin(), files.end());
+    for (const std::string& path : files) fmt::print("{:<40} {}\n", path, load_scenario(path).about);
+    return EXIT_SUCCESS;
+}
+
+int main_of(int argc, char** argv) {
+    CLI::App app{"The laboratory: the program's own engine and decisions in a world of virtual time."};
+    app.require_subcommand(1);
+    Line line;
+    const auto common = [&](CLI::App* sub) {
+        sub->add_option("scenario", line.files, "Files of scenarios")->required();
+        sub->add_option("--seed", line.seed, "The first seed");
+        sub->add_option("--threads", line.threads, "The result does not depend on it")
+            ->check(CLI::Range(1, 64));
+        sub->add_flag("--json", line.json);
+    };
+    CLI::App* const running = app.add_subcommand("run", "Run scenarios once");
+    common(running);
+    CLI::App* const sweeping = app.add_subcommand("sweep", "Run scenarios over many seeds");
+    common(sweeping);
+    CLI::App* const comparing = app.add_subcommand("compare", "Two scenarios, paired over the same seeds");
+    common(comparing);
+    for (CLI::App* sub : {sweeping, comparing})
+        sub->add_option("--seeds", line.seeds, "How many")->check(CLI::Range(1, 10000));
+    CLI::App* const listing = app.add_subcommand("list", "The scenarios of a folder");
+    listing->add_option("folder", line.folder);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+        return app.exit(error);
+    }
+    if (running->parsed()) return run_files(line);
+    if (sweeping->parsed()) return sweep(line);
+    if (comparing->parsed()) return compare(line);
+    return list(line);
+}
+
+}    // namespace
+}    // namespace shaletray::lab
+
+int main(int argc, char** argv) {
+    try {
+        return shaletray::lab::main_of(argc, argv);
+    } catch (const std::exception& error) {
+        fmt::print(stderr, "{}\n", error.what());
+        return 2;
+    }
+}
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -113,10 +113,12 @@
 // Heavy tools are programs of their own beside this one, which loads nothing that it does not use.
 bool hand_over(int argc, char** argv) {
     const std::string_view what = argc > 1 ? argv[1] : "";
-    if (what != "usage" && what != "store") return false;
-    const auto tool = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "shaletray_usage";
+    const bool lab = what == "lab";
+    if (!lab && what != "usage" && what != "store") return false;
+    const auto folder = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+    std::string name = (folder / (lab ? "shaletray_lab" : "shaletray_usage")).string();
     std::vector<char*> words(argv, argv + argc);
-    std::string name = tool.string();
+    if (lab) words.erase(words.begin() + 1);    // the sub-command is the program
     words[0] = name.data();
     words.push_back(nullptr);
     execv(name.c_str(), words.data());
@@ -136,6 +138,7 @@
     checking->add_flag("--show", show, "Print each file as it holds, defaults included");
     // For the list of sub-commands; they were handed over before this.
     app.add_subcommand("usage", "Use records: run, export, tail, reconcile");
+    app.add_subcommand("lab", "The laboratory: run, sweep, compare, list");
     app.add_subcommand("store", "The store of use records: backup, verify, compact");
     std::function<int()> chosen;
     shaletray::control_socket::add_plans_command(app, chosen);
--- a/src/plans/spread.cpp
+++ b/src/plans/spread.cpp
@@ -67,6 +67,7 @@
 }
 
 void Spread::absent(const std::string& field) {
+    if (field == entry_field(book_.version() + 1)) current_ = true;
     if (field == place_field(me_)) shown_.clear();
     else if (field.starts_with("book:"))
         if (const auto v = number<std::uint64_t>(std::string_view(field).substr(5), 10)) up_.erase(*v);
@@ -90,10 +91,10 @@
             return;
         }
         // Further than the keeper, or the same place with other entries: that is another book.
-        const bool ours =
-            *version <= book_.version() && (*version == 0 || book_.log()[*version - 1].chain == *chain);
+        const std::uint64_t at = version.value_or(0), of = chain.value_or(0);
+        const bool ours = at <= book_.version() && (at == 0 || book_.log()[at - 1].chain == of);
         stats_.foreign += !ours && keeper_;
-        places_[*gateway] = ours ? Place{*version, *chain} : Place{book_.version(), book_.chain()};
+        places_[*gateway] = ours ? Place{at, of} : Place{book_.version(), book_.chain()};
         return;
     }
     const auto version =
--- a/src/plans/spread.h
+++ b/src/plans/spread.h
@@ -32,6 +32,9 @@
     void heard(const std::string& field, const std::string& value, TimePoint now) override;
     void absent(const std::string& field) override;
     SpreadStats stats() const;
+    // Nothing newer stood on the board when it was last read; a keeper has all there is. Until then a gateway
+    // that starts may hold an old book.
+    bool current() const { return keeper_ || current_; }
 
 private:
     struct Place {
@@ -41,7 +44,7 @@
     std::uint64_t first_lacking() const;
 
     int me_, gateways_;
-    bool keeper_;
+    bool keeper_, current_ = false;
     const Book& book_;
     Take take_;
     std::map<int, Place> places_;
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -17,6 +17,7 @@
 constexpr Duration kShortestGrace = 3s, kEndBefore = 100ms;
 constexpr int kEpochLeases = 16;    // leases for which the store keeps rows in one hash
 constexpr Duration kLeastLook = 25ms, kLongestLook = 250ms;    // at what changes in the ledger and the book
+constexpr Duration kBookWait = 1s;                             // for the board, at a start
 constexpr double kIdleShare = 0.6;    // of the time after which servers close a connection
 
 std::size_t share_of(const Config& config, double share) {
@@ -121,11 +122,17 @@
     }
     if (settings.plans) begin_plans(*settings.plans);
     listener_ = std::make_unique<Listener>(engine_, config_, counters_, reactor_,
-                                           share_of(config_, kClientShare), [this] { return listed_; });
+                                           share_of(config_, kClientShare), [this] { return ready(); });
 }
 
 Service::~Service() { reactor_.cancel(changes_timer_); }
 
+// A gateway that was away may hold an old plan book: it waits a moment for the board, and then serves by what
+// it has.
+bool Service::ready() const {
+    return listed_ && (!spread_ || spread_->current() || clock_.now() - started_ >= kBookWait);
+}
+
 // ---- plans that change in service ----
 
 void Service::begin_plans(const settings::PlansSettings& s) {
--- a/src/service/service.h
+++ b/src/service/service.h
@@ -58,6 +58,7 @@
     const counter::Client* shared_counter() const { return shared_counter_.get(); }
 
 private:
+    bool ready() const;
     void look_after_stop();
     void begin_plans(const settings::PlansSettings& settings);
     void make_change(const plans::Change& change);
@@ -87,6 +88,7 @@
     Timers::Id changes_timer_ = 0;
     LogGate gate_{std::chrono::minutes(1)};
     bool listed_ = false;
+    TimePoint started_ = clock_.now();
     TimePoint stopping_since_{};
 };
 
--- a/src/settings/operator_settings.cpp
+++ b/src/settings/operator_settings.cpp
@@ -2,10 +2,9 @@
 
 #include <fmt/format.h>
 
-#include <fstream>
-#include <iterator>
 #include <utility>
 
+#include "settings/record.h"
 #include "settings/schema.h"
 
 namespace shaletray::settings {
@@ -13,60 +12,6 @@
 
 using Kind = Value::Kind;
 
-// Reads a settled record. What the schema promises is not checked again.
-class Record {
-public:
-    explicit Record(const ValuePtr& value) : value_(value) {}
-
-    bool has(const std::string& name) const { return value_->fields.contains(name); }
-    const ValuePtr& at(const std::string& name) const { return value_->fields.at(name).value; }
-    std::string text(const std::string& name) const { return has(name) ? at(name)->text : std::string(); }
-    double number(const std::string& name) const { return at(name)->number; }
-    template <class T>
-    T whole(const std::string& name) const {
-        return static_cast<T>(number(name));
-    }
-    bool truth(const std::string& name) const { return at(name)->truth; }
-    std::uint64_t size(const std::string& name) const {
-        const Value& v = *at(name);
-        return static_cast<std::uint64_t>(v.kind == Kind::Text ? read_size(v.text).value() : v.number);
-    }
-    std::vector<std::string> texts(const std::string& name) const {
-        std::vector<std::string> out;
-        for (const ValuePtr& item : at(name)->items) out.push_back(item->text);
-        return out;
-    }
-    std::chrono::microseconds duration(const std::string& name) const {
-        return std::chrono::microseconds(static_cast<std::int64_t>(read_duration(at(name)->text).value()));
-    }
-
-private:
-    ValuePtr value_;
-};
-
-ValuePtr settled(std::string_view text, const std::string& file) {
-    static const ValuePtr schema = [] {
-        auto closed = std::make_shared<Value>(*parse(kSchema, "schema.cue"));
-        closed->closed = true;
-        return ValuePtr(closed);
-    }();
-    std::vector<Problem> problems;
-    const ValuePtr both = unify(schema, parse(text, file), "", problems);
-    ValuePtr out = settle(both, "", problems);
-    for (Problem& p : problems) {    // a field that the file leaves out has its place in the schema only
-        if (p.place.file != file) p.place = {file, 0, 0};
-    }
-    if (!problems.empty()) throw BadSettingsFile(std::move(problems));
-    return out;
-}
-
-std::string read_file(const std::string& path) {
-    std::ifstream in(path, std::ios::binary);
-    std::string text(std::istreambuf_iterator<char>(in), {});
-    if (!in.is_open() || in.bad()) fail({path, 0, 0}, "", "cannot be read");
-    return text;
-}
-
 StoreSettings store_of(const Record& r, const std::string& path) {
     StoreSettings s{r.text("address"), r.text("username"), r.text("password"), r.whole<int>("database")};
     const auto wrong = [&](const std::string& name, const std::string& text) {
@@ -182,7 +127,7 @@
 }    // namespace
 
 OperatorSettings read_operator_settings(std::string_view text, const std::string& file) {
-    const Record r(settled(text, file));
+    const Record r(settled(text, file, kSchema, "schema.cue"));
     OperatorSettings s;
     if (r.has("counter")) s.counter = counter_of(Record(r.at("counter")));
     if (r.has("plans")) s.plans = plans_of(Record(r.at("plans")));
@@ -197,7 +142,7 @@
 std::string explained(std::string_view text, const std::string& file) {
     read_operator_settings(text, file);
     std::string out;
-    const ValuePtr all = settled(text, file);
+    const ValuePtr all = settled(text, file, kSchema, "schema.cue");
     for (const std::string& name : all->order) {
         out += name + ": ";
         write(*all->fields.at(name).value, 0, out);
