Work out rested stores only for customers that begin, and read cursors in one place

Need: on each request the desk went through the book's last changes for figures that only a customer newly tracked uses. The collector read a segment's cursor in three places and summed in two; the load tool's last condition held two parts that are always true; the experiment kept figures that nothing read.

Change: the desk asks the ledger first; cursor_of() and sums() serve all; the rest is gone. Behaviour stays.

--- a/lab/experiment_plans.cpp
+++ b/lab/experiment_plans.cpp
@@ -44,8 +44,7 @@
 struct Try {
     int customer = 0, units = 0;
     TimePoint sent{}, seen{};
-    int gateway = 0, life = 0;
-    bool was_seen = false, answered = false, reserved = false;
+    bool was_seen = false, answered = false;
 };
 
 struct Phase {
@@ -63,7 +62,6 @@
           random_(seed),
           billing_(seed) {
         std::filesystem::create_directories(folder_ / "journal");
-        lives_.resize(kGateways);
     }
     ~Experiment() override { stop_thread(); }
 
@@ -130,7 +128,6 @@
         wait(2.4);
         sync_do([&] {
             for (int g = 0; g < kGateways; ++g) {
-                ++lives_[static_cast<std::size_t>(g)];
                 start_gateway(g, cue(g, all));
             }
             recording_ = all;
@@ -165,7 +162,6 @@
         if (!callers_[g]) return;    // it is just starting
         leaving_.push_back(std::exchange(callers_[g], nullptr));
         gateways_[static_cast<std::size_t>(g)]->kill();
-        ++lives_[static_cast<std::size_t>(g)];
         ++phases_.back().kills;
         start_gateway(g, cue(g, true));
     }
@@ -276,8 +272,6 @@
         t.customer = customer;
         t.units = static_cast<int>(random_() % 2) + 1;
         t.sent = clock_.now();
-        t.gateway = g;
-        t.life = lives_[static_cast<std::size_t>(g)];
         std::string reservation;
         if (const auto it = reservations_.find(customer);
             it != reservations_.end() && t.sent > it->second.second && random_() % 2 == 0)
@@ -613,7 +607,6 @@
     std::set<std::size_t> before_;    // those of the time before
     std::vector<Phase> phases_;
     std::vector<std::shared_ptr<Caller>> leaving_;
-    std::vector<int> lives_;
     std::map<std::string, std::uint64_t> newest_;
     std::map<int, std::pair<std::string, TimePoint>> reservations_;    // by customer
     int load_ = 0, exporters_ = 0, reconciled_ = 1;
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -257,8 +257,7 @@
         const Duration due = waiting_.front();
         waiting_.pop_front();
         hand_out(due);
-    } else if (!next_ && idle_.size() == lines_.size() && figures_.due > 0 &&
-               reactor_.clock().now() - began_ >= Duration(0) && timer_ != 0) {
+    } else if (!next_ && timer_ != 0 && idle_.size() == lines_.size()) {    // all were due, and have ended
         finish();
     }
 }
--- a/src/limits/ledger.h
+++ b/src/limits/ledger.h
@@ -104,6 +104,7 @@
     // What the module must know of a customer now, where it is tracked and was told before.
     std::optional<Allowance> retell(CustomerId customer, TimePoint now);
     std::vector<CustomerId> customers() const;
+    bool tracks(CustomerId customer) const { return find(customer) != nullptr; }
 
     // ---- what is exchanged with the other gateways ----
     // Rows that are due to be written, at most so many. Each is owed to all who carry rows.
--- a/src/plans/desk.cpp
+++ b/src/plans/desk.cpp
@@ -56,6 +56,7 @@
 limits::Standing Desk::standing(CustomerId customer, int asked_plan, TimePoint now) const {
     limits::Standing s;
     s.carved = book_.carved(customer, now);
+    if (ledger_.tracks(customer)) return s;    // its stores are known; the rest is for one that begins
     const Book::Rested rested = book_.rested(customer, asked_plan, now);
     s.rested_quota = rested.quota;
     s.rested_ceiling = rested.ceiling;
--- a/src/usage/collector.cpp
+++ b/src/usage/collector.cpp
@@ -94,9 +94,7 @@
     // Whole segments go once nothing of them can be lost any more with the machine.
     bool settled = false;
     for (const auto& [name, path] : found) {
-        bool ended = false;
-        cursor_.each([&] { ended = cursor_.whole(1) != 0; }, name.gateway, name.incarnation, name.number);
-        if (!ended) continue;
+        if (!cursor_of(name).ended) continue;
         if (!settled) {
             step("settle");
             database_.settle();
@@ -108,13 +106,18 @@
     return rows;
 }
 
-std::uint64_t Collector::ingest(const journal::SegmentName& name, const std::string& path) {
+Collector::Cursor Collector::cursor_of(const journal::SegmentName& name) {
     Cursor cursor;
     cursor_.each(
         [&] {
             cursor = {static_cast<std::uint32_t>(cursor_.whole(0)), cursor_.whole(1) != 0};
         },
         name.gateway, name.incarnation, name.number);
+    return cursor;
+}
+
+std::uint64_t Collector::ingest(const journal::SegmentName& name, const std::string& path) {
+    Cursor cursor = cursor_of(name);
     std::uint64_t rows = 0;
     while (!cursor.ended) {
         // Added up here first: a customer's tries in a minute are many.
@@ -284,11 +287,8 @@
     return out;
 }
 
-Sums Collector::pending() {
-    Statement get(
-        database_,
-        "SELECT coalesce(sum(rows*(1-gap)),0), coalesce(sum(rows*gap),0), coalesce(sum(units),0) FROM "
-        "pending");
+Sums Collector::sums(std::string_view sql) {
+    Statement get(database_, sql);
     Sums s;
     get.each([&] {
         s = {static_cast<std::uint64_t>(get.whole(0)), static_cast<std::uint64_t>(get.whole(1)),
@@ -297,16 +297,15 @@
     return s;
 }
 
+Sums Collector::pending() {
+    return sums(
+        "SELECT coalesce(sum(rows*(1-gap)),0), coalesce(sum(rows*gap),0), coalesce(sum(units),0) FROM "
+        "pending");
+}
+
 Sums Collector::exported() {
-    Statement get(
-        database_,
+    return sums(
         "SELECT coalesce(sum(rows),0), coalesce(sum(gap_rows),0), coalesce(sum(units),0) FROM batches");
-    Sums s;
-    get.each([&] {
-        s = {static_cast<std::uint64_t>(get.whole(0)), static_cast<std::uint64_t>(get.whole(1)),
-             get.whole(2)};
-    });
-    return s;
 }
 
 Collector::Trouble Collector::trouble() {
@@ -315,25 +314,20 @@
 }
 
 Sums Collector::waiting() {
-    Sums sums;
+    Sums all;
     for (const std::string& file : files_.list(s_.journal)) {
         const auto name = journal::read_segment_name(file);
         if (!name) continue;
-        Cursor cursor;
-        cursor_.each(
-            [&] {
-                cursor = {static_cast<std::uint32_t>(cursor_.whole(0)), cursor_.whole(1) != 0};
-            },
-            name->gateway, name->incarnation, name->number);
+        const Cursor cursor = cursor_of(*name);
         if (cursor.ended) continue;
         journal::read_segment(files_, s_.journal + "/" + file, cursor.next, ~0u,
                               [&](const journal::SegmentHead&, const journal::Use& use) {
                                   const bool gap = use.kind == journal::Use::Kind::Gap;
-                                  (gap ? sums.gap_rows : sums.rows) += use.rows;
-                                  sums.units += use.units;
+                                  (gap ? all.gap_rows : all.rows) += use.rows;
+                                  all.units += use.units;
                               });
     }
-    return sums;
+    return all;
 }
 
 // ---- as text ----
--- a/src/usage/collector.h
+++ b/src/usage/collector.h
@@ -99,6 +99,8 @@
         if (step_) step_(name);
     }
     std::uint64_t ingest(const journal::SegmentName& name, const std::string& path);
+    Cursor cursor_of(const journal::SegmentName& name);
+    Sums sums(std::string_view sql);
 
     CollectorSettings s_;
     journal::Files& files_;
