Log events under stable names by spdlog, and let the shells complete the command line

Lines were free text at a level that took a restart; nothing promised their names.

Change: an event a line with a name out of an enumeration, fields, key=value or JSON, by spdlog; what others sent cannot end a line or pass for a field. Level and form are taken from the operator's file at SIGHUP. Experiment capacity also measures customers over their quotas.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.h' '*.cpp')
 
 PACKAGES = cmake g++ make git libpoco-dev libfmt-dev nlohmann-json3-dev tao-pegtl-dev libcli11-dev libhiredis-dev \
-  libxxhash-dev libsqlite3-dev
+  libxxhash-dev libsqlite3-dev libspdlog-dev
 # For the tests, the laboratory and its reports, and the format.
 MORE_PACKAGES = libgtest-dev libboost-dev gnuplot-nox clang-format
 
--- a/deploy/shaletray.cue
+++ b/deploy/shaletray.cue
@@ -20,6 +20,11 @@
 	most_rows:      1024   // in one call
 }
 
+log: { // see docs/operate/logging.md
+	level: "info" // where it is left out: what SHALETRAY_LOG says
+	form:  "keyvalue" // or "json"
+}
+
 plans: { // see docs/operate/plans-and-usage.md
 	book:         "/var/lib/shaletray/book" // this gateway's own copy of the plan book
 	keeper:       true                      // at one gateway: changes are made there
--- a/lab/experiment_capacity.cpp
+++ b/lab/experiment_capacity.cpp
@@ -28,6 +28,8 @@
 constexpr double kToolRate = 50'000.0;
 constexpr std::chrono::microseconds kToolDelay{20'000};
 constexpr int kServers = 8;
+// A plan whose thousand customers together ask for twice what they have.
+constexpr double kNarrow = 4.0, kOverRate = 8000.0;
 // Of a day that the gateway keeps up with: answered 200, and soon.
 constexpr double kKeepsUp = 0.99, kKeepsUpMs = 50.0;
 
@@ -40,14 +42,14 @@
 };
 
 Run load(const std::string& address, double rate, double seconds, std::size_t connections, bool ahead,
-         std::uint64_t seed, const std::function<void()>& midway = {}) {
+         std::uint64_t seed, const std::function<void()>& midway = {}, const std::string& plan = "wide") {
     LoadSettings s;
     s.address = address;
     s.time = from_secs(seconds);
     s.connections = connections;
     s.ahead = ahead;
     s.seed = seed;
-    s.plan = "wide";
+    s.plan = plan;
     s.customers = 1000;
     Run out;
     Poco::Thread thread;
@@ -92,6 +94,7 @@
         tool(out);
         start_gateway();
         most(out);
+        over(out);
         added(out);
         for (const std::string& what : broken_) fmt::print("BROKEN: {}\n", what);
         out["broken"] = broken_;
@@ -126,7 +129,8 @@
         Scenario s;
         s.gateways = 1;
         s.servers = kServers;
-        s.plans = {{"wide", 1e6, 1e6, 0, 0.0, 0.0, 0.0, 1.0, 0.0, 0.0}};
+        s.plans = {{"wide", 1e6, 1e6, 0, 0.0, 0.0, 0.0, 1.0, 0.0, 0.0},
+                   {"narrow", kNarrow, 2.0 * kNarrow, 0, 0.0, 0.0, 0.0, 1.0, 0.0, 0.0}};
         std::string members;
         for (int i = 0; i < kServers; ++i)
             members +=
@@ -189,6 +193,21 @@
         best_ = best;
         bound(best > 0.0, "the gateway keeps up with no rate at all");
     }
+    // With customers over their quotas, requests are held for units that come.
+    void over(Json& out) {
+        const double before = gateway_->cpu();
+        const Run r = load(address_, kOverRate, seconds_, 4000, false, seed_, {}, "narrow");
+        const double spent = gateway_->cpu() - before;
+        std::uint64_t answered = 0;
+        for (const auto& [status, n] : r.f.by_status) answered += n;
+        const double each = 1e6 * spent / static_cast<double>(std::max<std::uint64_t>(1, answered));
+        fmt::print(
+            "over quotas: {:.0f} asked a second, {:.0f} served, {:.1f} us of CPU a request, {:.2f} cores\n",
+            kOverRate, r.rate(), each, spent / r.f.seconds);
+        out["over_quotas"] = {
+            {"cpu_us_per_request", each}, {"served_per_s", r.rate()}, {"asked_per_s", kOverRate}};
+        bound(r.f.unanswered + r.f.broken == 0, "requests over quotas were not answered");
+    }
     double resident() const {
         // Of the child: the second figure of statm, in pages.
         std::ifstream in(fmt::format("/proc/{}/statm", gateway_->pid()));
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -171,7 +171,7 @@
         } catch (const std::exception& error) {
             // The request it was about is answered as overdue; all others go on.
             static LogGate gate;
-            if (gate.open()) log(LogLevel::Error, "an event was not carried out: {}", error.what());
+            if (gate.open()) log(LogLevel::Error, Event::EngineFailed, {kv("why", error.what())});
         }
     }
     events_.clear();
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -1,25 +1,73 @@
-// A small logger: one line a message on standard error, nothing per request.
+// The log: one event a line on standard error, by spdlog; nothing per request. Events have names that do not
+// change (docs/operate/logging.md lists them), and fields; a line is key=value, or JSON where that is set.
 #pragma once
 
 #include <fmt/format.h>
 
 #include <chrono>
+#include <initializer_list>
+#include <string>
 #include <string_view>
-#include <utility>
 
 namespace shaletray {
 
 enum class LogLevel { Error, Warning, Info, Debug };
+enum class LogForm { KeyValue, Json };
 
+enum class Event {
+    Listening,
+    Failed,    // the program ends by it
+    ReloadNothing,
+    ReloadFailed,
+    DiscoveryMoved,
+    DiscoveryBadLine,
+    DiscoveryBadEntries,
+    DiscoveryBroken,
+    ServerSpoiltAnswer,
+    SocketFailed,
+    AcceptFailed,
+    EngineFailed,
+    CounterUp,
+    CounterLost,
+    CounterSpoiltRow,
+    BookRead,
+    BookTorn,
+    BookDamaged,
+    BookNotDurable,
+    PlansChanged,
+    PlansRefused,
+    PlansRedeemedFull,
+    UsageOff,
+    UsageNotRecorded,
+    ExportStarted,
+    ExportTrouble,
+    kCount
+};
+std::string_view name_of(Event event);
+
+struct LogField {
+    std::string_view name;
+    std::string value;
+};
+template <class T>
+LogField kv(std::string_view name, const T& value) {
+    return {name, fmt::format("{}", value)};
+}
+
+// Both may be changed at any time, and hold for all lines from then on.
 void set_log_level(LogLevel level);
 LogLevel log_level();
 // False, and nothing changed, where the name is none of error, warning, info, debug.
 bool set_log_level(std::string_view name);
-void write_log(LogLevel level, std::string_view text);
+void set_log_form(LogForm form);
+
+// A line without its time and level, in either form.
+std::string log_line(LogForm form, Event event, std::initializer_list<LogField> fields);
+void write_log(LogLevel level, Event event, std::initializer_list<LogField> fields);
 
-template <class... Args>
-void log(LogLevel level, fmt::format_string<Args...> format, Args&&... args) {
-    if (level <= log_level()) write_log(level, fmt::format(format, std::forward<Args>(args)...));
+// Safe from any thread.
+inline void log(LogLevel level, Event event, std::initializer_list<LogField> fields = {}) {
+    if (level <= log_level()) write_log(level, event, fields);
 }
 
 // Lets a message through at most once in a while, so that a stream of bad input cannot fill the log.
--- a/src/counter/client.cpp
+++ b/src/counter/client.cpp
@@ -46,18 +46,19 @@
         if (!c.stream->send(std::move(bytes))) return lose(c, "the connection broke");
     }
     if (const auto field = c.session.take_spoilt(); field && c.spoilt_gate.open())
-        log(LogLevel::Warning, "the counter at {} holds what is no row of ours, at {}", c.session.address(),
-            *field);
+        log(LogLevel::Warning, Event::CounterSpoiltRow,
+            {kv("address", c.session.address()), kv("field", *field)});
     if (c.session.up() && !c.told_up) {
         c.told_up = true;
-        log(LogLevel::Info, "the counter at {} answers", c.session.address());
+        log(LogLevel::Info, Event::CounterUp, {kv("address", c.session.address())});
     }
 }
 
 void Client::lose(Connection& c, const std::string& why) {
     c.session.broke(reactor_.clock().now());
     if (c.stream) retire(reactor_, std::move(c.stream));
-    if (c.gate.open()) log(LogLevel::Warning, "the counter at {} is lost: {}", c.session.address(), why);
+    if (c.gate.open())
+        log(LogLevel::Warning, Event::CounterLost, {kv("address", c.session.address()), kv("why", why)});
     c.told_up = false;
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <iterator>
 
+#include "command/complete.h"
 #include "control_socket/ask.h"
 #include "core/log.h"
 #include "service/service.h"
@@ -56,16 +57,26 @@
     return shaletray::settings::load_operator_settings(path);
 }
 
+// The environment's level holds where the file names none.
+void log_as(const shaletray::settings::OperatorSettings& settings) {
+    if (!settings.log) return;
+    if (!settings.log->level.empty()) shaletray::set_log_level(std::string_view(settings.log->level));
+    shaletray::set_log_form(settings.log->json ? shaletray::LogForm::Json : shaletray::LogForm::KeyValue);
+}
+
 // A file that cannot be used changes nothing, nor does the other one then: the gateway goes on as it is.
 void reload(shaletray::Service& service) {
     try {
         const shaletray::Config config = shaletray::config_from_file();
-        const std::size_t made = service.reload(operator_settings());
+        const shaletray::settings::OperatorSettings settings = operator_settings();
+        const std::size_t made = service.reload(settings);
+        log_as(settings);
         if (!service.reload(config) && made == 0)
-            shaletray::log(shaletray::LogLevel::Info, "the configuration holds nothing new to apply");
+            shaletray::log(shaletray::LogLevel::Info, shaletray::Event::ReloadNothing);
     } catch (const std::exception& error) {
         service.reload_failed();
-        shaletray::log(shaletray::LogLevel::Error, "not reloaded: {}", error.what());
+        shaletray::log(shaletray::LogLevel::Error, shaletray::Event::ReloadFailed,
+                       {shaletray::kv("why", error.what())});
     }
 }
 
@@ -78,9 +89,12 @@
     fit_descriptors(config);
     const std::string name = config.name;
     handle_signals();
-    shaletray::Service service(std::move(config), operator_settings());
+    const shaletray::settings::OperatorSettings settings = operator_settings();
+    log_as(settings);
+    shaletray::Service service(std::move(config), settings);
     const auto print = [&] { fmt::print(stderr, "{}", service.counters_text()); };
-    shaletray::log(shaletray::LogLevel::Info, "{} listens on {}", name, service.address());
+    shaletray::log(shaletray::LogLevel::Info, shaletray::Event::Listening,
+                   {shaletray::kv("name", name), shaletray::kv("address", service.address())});
     service.run([&] {
         if (counters_wanted.exchange(false)) print();
         if (reload_wanted.exchange(false)) reload(service);
@@ -112,13 +126,15 @@
 
 // Heavy tools are programs of their own beside this one, which loads nothing that it does not use.
 bool hand_over(int argc, char** argv) {
-    const std::string_view what = argc > 1 ? argv[1] : "";
+    // What may follow one of these words is known to its program.
+    const bool completes = argc > 2 && std::string_view(argv[1]) == "__complete";
+    const std::string_view what = completes ? argv[2] : argc > 1 ? argv[1] : "";
     const bool lab = what == "lab";
     if (!lab && what != "usage" && what != "store") return false;
     const auto folder = std::filesystem::read_symlink("/proc/self/exe").parent_path();
     std::string name = (folder / (lab ? "shaletray_lab" : "shaletray_usage")).string();
     std::vector<char*> words(argv, argv + argc);
-    if (lab) words.erase(words.begin() + 1);    // the sub-command is the program
+    if (lab) words.erase(words.begin() + (completes ? 2 : 1));    // the sub-command is the program
     words[0] = name.data();
     words.push_back(nullptr);
     execv(name.c_str(), words.data());
@@ -138,10 +154,11 @@
     checking->add_flag("--show", show, "Print each file as it holds, defaults included");
     // For the list of sub-commands; they were handed over before this.
     app.add_subcommand("usage", "Use records: run, export, tail, reconcile");
-    app.add_subcommand("lab", "The laboratory: run, sweep, compare, list");
+    app.add_subcommand("lab", "The laboratory: run, sweep, compare, replay, against, list, load, demo");
     app.add_subcommand("store", "The store of use records: backup, verify, compact");
     std::function<int()> chosen;
     shaletray::control_socket::add_plans_command(app, chosen);
+    if (shaletray::command::completes(app, argc, argv)) return EXIT_SUCCESS;
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
@@ -157,9 +174,11 @@
     try {
         return run(argc, argv);
     } catch (const Poco::Exception& error) {
-        shaletray::log(shaletray::LogLevel::Error, "{}", error.displayText());
+        shaletray::log(shaletray::LogLevel::Error, shaletray::Event::Failed,
+                       {shaletray::kv("why", error.displayText())});
     } catch (const std::exception& error) {
-        shaletray::log(shaletray::LogLevel::Error, "{}", error.what());
+        shaletray::log(shaletray::LogLevel::Error, shaletray::Event::Failed,
+                       {shaletray::kv("why", error.what())});
     }
     return EXIT_FAILURE;
 }
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -98,12 +98,12 @@
     std::string error;
     if (!parse_member_list(line, config_.places, list, error)) {
         ++counters_.bad_lines;
-        if (gate_.open()) log(LogLevel::Warning, "discovery sent a line that is no list: {}", error);
+        if (gate_.open()) log(LogLevel::Warning, Event::DiscoveryBadLine, {kv("why", error)});
         return;
     }
     if (list.skipped > 0) {
         counters_.bad_lines += list.skipped;
-        if (gate_.open()) log(LogLevel::Warning, "discovery sent {} unreadable entries", list.skipped);
+        if (gate_.open()) log(LogLevel::Warning, Event::DiscoveryBadEntries, {kv("entries", list.skipped)});
     }
     revision_ = list.revision;
     const bool full = list.complete;
@@ -114,7 +114,7 @@
 }
 
 void DiscoveryWatch::broken(std::string_view why) {
-    if (gate_.open()) log(LogLevel::Info, "the watch of discovery broke: {}", why);
+    if (gate_.open()) log(LogLevel::Info, Event::DiscoveryBroken, {kv("why", why)});
     stream_->close();
     reactor_.cancel(silence_timer_);
     if (config_.settings.ask_for_list) {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -77,7 +77,7 @@
     } catch (const Poco::Exception& error) {
         if (error.code() == POCO_EWOULDBLOCK) return false;    // none waits, or it left before that
         // Out of descriptors, above all: the listener stays readable, and trying on would spin.
-        if (gate_.open()) log(LogLevel::Warning, "cannot accept: {}", error.displayText());
+        if (gate_.open()) log(LogLevel::Warning, Event::AcceptFailed, {kv("why", error.displayText())});
         make_room();
         pause_accepting(kAcceptPause);
         return false;
--- a/src/net/reactor.cpp
+++ b/src/net/reactor.cpp
@@ -21,7 +21,7 @@
 
 private:
     void tell(const std::string& text) {
-        if (gate_.open()) log(LogLevel::Error, "while serving a socket: {}", text);
+        if (gate_.open()) log(LogLevel::Error, Event::SocketFailed, {kv("why", text)});
     }
     LogGate gate_;
 };
--- a/src/net/server_pool.cpp
+++ b/src/net/server_pool.cpp
@@ -124,7 +124,8 @@
     Payload answer;
     if (spoilt) {
         ++counters_.bad_answers;
-        if (gate_.open()) log(LogLevel::Warning, "server {} spoilt an answer", connection.address());
+        if (gate_.open())
+            log(LogLevel::Warning, Event::ServerSpoiltAnswer, {kv("server", connection.address())});
     } else if (whole) {
         load = report_of(connection.parser(), connection.input());
         if (outcome == Outcome::Ok && entry.attempt)
--- a/src/service/book_file.cpp
+++ b/src/service/book_file.cpp
@@ -77,7 +77,7 @@
             try {
                 files_.sync(*file_);
             } catch (const journal::FileError& error) {
-                log(LogLevel::Error, "the plan book may not survive the machine: {}", error.what());
+                log(LogLevel::Error, Event::BookNotDurable, {kv("why", error.what())});
             }
             lock.lock();
             continue;
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -117,7 +117,7 @@
         } catch (const std::exception& error) {
             if (settings.usage->refuse_trouble)
                 throw std::runtime_error(fmt::format("usage.journal: {}", error.what()));
-            log(LogLevel::Error, "use is not recorded: {}", error.what());
+            log(LogLevel::Error, Event::UsageOff, {kv("why", error.what())});
         }
     }
     if (settings.plans) begin_plans(*settings.plans);
@@ -144,11 +144,11 @@
     plans::Book book(b);
     book_file_ = std::make_unique<BookFile>(s.book, book, !s.refuse_damage);
     const BookFile::Loaded& loaded = book_file_->loaded();
-    if (loaded.torn) log(LogLevel::Warning, "{}: its last line was cut short, and never counted", s.book);
+    if (loaded.torn) log(LogLevel::Warning, Event::BookTorn, {kv("book", s.book)});
     if (!loaded.damage.empty())
-        log(LogLevel::Error, "the plan book is damaged; served as of version {}: {}", loaded.changes,
-            loaded.damage);
-    log(LogLevel::Info, "the plan book is at version {}", loaded.changes);
+        log(LogLevel::Error, Event::BookDamaged,
+            {kv("book", s.book), kv("version", loaded.changes), kv("why", loaded.damage)});
+    log(LogLevel::Info, Event::BookRead, {kv("book", s.book), kv("version", loaded.changes)});
     tallies_ = std::make_unique<journal::Tallies>(fmt::format("{}.redeemed", s.book));
     std::map<std::uint64_t, double> redeemed;
     for (const auto& [version, units] : tallies_->read()) {
@@ -160,7 +160,7 @@
     engine_.rule_by(*desk_);
     desk_->on_redeemed([this](std::uint64_t version, double units) {
         if (!tallies_->put(version, journal::millionths(units)) && gate_.open())
-            log(LogLevel::Warning, "too many reservations are open for their use to survive a restart");
+            log(LogLevel::Warning, Event::PlansRedeemedFull);
     });
     if (shared_counter_) {
         spread_ = std::make_unique<plans::Spread>(config_.settings.me, config_.settings.gateways, s.keeper,
@@ -196,8 +196,8 @@
         p.author = "the operator's file";
         const auto outcome = desk_->book().propose(p, clock_.now());
         if (const auto* no = std::get_if<plans::Refusal>(&outcome)) {
-            log(LogLevel::Error, "the operator's file wants {} otherwise, which is refused: {}",
-                plans::subject_of(body), no->text);
+            log(LogLevel::Error, Event::PlansRefused,
+                {kv("subject", plans::subject_of(body)), kv("why", no->text)});
             continue;
         }
         make_change(std::get<plans::Change>(outcome));
@@ -215,8 +215,9 @@
     plans::Book::check_next(desk_->book(), change);
     book_file_->append(change);
     desk_->take(change, clock_.now());
-    log(LogLevel::Info, "plan book version {}: {} by {}, from {}", change.version,
-        plans::subject_of(change.body), change.author, plans::time_text(change.at));
+    log(LogLevel::Info, Event::PlansChanged,
+        {kv("version", change.version), kv("subject", plans::subject_of(change.body)),
+         kv("author", change.author), kv("from", plans::time_text(change.at))});
     changes_due();
 }
 
@@ -246,7 +247,7 @@
     use.class_index = static_cast<std::uint16_t>(a.class_index);
     use.reservation = a.reservation;
     if (!recorder_.append(use) && gate_.open())
-        log(LogLevel::Error, "use is only counted, for want of a segment: {}", recorder_.trouble());
+        log(LogLevel::Error, Event::UsageNotRecorded, {kv("why", recorder_.trouble())});
 }
 
 void Service::run(std::function<void()> look) {
@@ -271,7 +272,7 @@
 
 bool Service::reload(const Config& changed) {
     if (changed.discovery == config_.discovery) return false;
-    log(LogLevel::Info, "discovery moves from {} to {}", config_.discovery, changed.discovery);
+    log(LogLevel::Info, Event::DiscoveryMoved, {kv("from", config_.discovery), kv("to", changed.discovery)});
     config_.discovery = changed.discovery;
     watch_->move_to(changed.discovery);
     ++counters_.reloads;
--- a/src/settings/operator_settings.cpp
+++ b/src/settings/operator_settings.cpp
@@ -131,6 +131,10 @@
     OperatorSettings s;
     if (r.has("counter")) s.counter = counter_of(Record(r.at("counter")));
     if (r.has("plans")) s.plans = plans_of(Record(r.at("plans")));
+    if (r.has("log")) {
+        const Record log(r.at("log"));
+        s.log = LogSettings{log.text("level"), log.text("form") == "json"};
+    }
     if (r.has("usage")) s.usage = usage_of(Record(r.at("usage")));
     return s;
 }
--- a/src/settings/operator_settings.h
+++ b/src/settings/operator_settings.h
@@ -56,10 +56,16 @@
     std::vector<std::string> plans, classes;    // names of the platform's, for the lines
 };
 
+struct LogSettings {
+    std::string level;    // empty: as the environment has it
+    bool json = false;
+};
+
 struct OperatorSettings {
     std::optional<CounterSettings> counter;
     std::optional<PlansSettings> plans;
     std::optional<UsageSettings> usage;
+    std::optional<LogSettings> log;    // taken again at SIGHUP
 };
 
 // Both throw BadSettingsFile with all that is wrong.
--- a/src/settings/schema.cue
+++ b/src/settings/schema.cue
@@ -73,6 +73,13 @@
 	classes: *[] | [...string]
 }
 
+// Taken again at SIGHUP.
+#Log: {
+	level?: "error" | "warning" | "info" | "debug"
+	form: *"keyvalue" | "json"
+}
+
 counter?: #Counter
+log?: #Log
 plans?: #Plans
 usage?: #Usage
--- a/src/usage/shaletray_usage.cpp
+++ b/src/usage/shaletray_usage.cpp
@@ -16,6 +16,7 @@
 #include <random>
 #include <thread>
 
+#include "command/complete.h"
 #include "core/log.h"
 #include "settings/operator_settings.h"
 #include "usage/export.h"
@@ -112,7 +113,7 @@
         bool good = true;
         const auto told = [&](const std::string& what) {
             good = false;
-            if (gate_.open()) log(LogLevel::Warning, "{}", what);
+            if (gate_.open()) log(LogLevel::Warning, Event::ExportTrouble, {kv("why", what)});
         };
         try {
             collector_.ingest();
@@ -133,7 +134,8 @@
         return good;
     }
     int run(bool all) {
-        log(LogLevel::Info, "exports use as {} from {}", collector_.exporter(), s_.journal);
+        log(LogLevel::Info, Event::ExportStarted,
+            {kv("exporter", collector_.exporter()), kv("journal", s_.journal)});
         while (!stop_wanted) {
             round(all);
             const auto until = std::chrono::steady_clock::now() + s_.every;
@@ -306,6 +308,7 @@
     backing->add_option("to", to, "The copy")->required();
     CLI::App* const verifying = keeping->add_subcommand("verify", "Look for damage");
     CLI::App* const compacting = keeping->add_subcommand("compact", "Give back room that is not used");
+    if (command::completes(app, argc, argv)) return EXIT_SUCCESS;
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
@@ -339,7 +342,8 @@
     try {
         return shaletray::usage::run(argc, argv);
     } catch (const std::exception& error) {
-        shaletray::log(shaletray::LogLevel::Error, "{}", error.what());
+        shaletray::log(shaletray::LogLevel::Error, shaletray::Event::Failed,
+                       {shaletray::kv("why", error.what())});
     }
     return EXIT_FAILURE;
 }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -426,13 +426,16 @@
 TEST(Operations, AReloadMovesToTheNewDiscoveryAndABadFileChangesNothing) {
     Server a, b;
     Discovery first(member("a", a.stub.address())), second(member("b", b.stub.address()));
-    const Poco::TemporaryFile file;
+    const Poco::TemporaryFile file, own;
+    std::ofstream(own.path()) << "";
     const auto write = [&](const std::string& text) { std::ofstream(file.path()) << text; };
     write(test::config_text(first.address(), member("a", a.stub.address())));
     Poco::Pipe errors;
-    Poco::ProcessHandle program = Poco::Process::launch(
-        SHALETRAY, {}, {}, nullptr, nullptr, &errors,
-        {{"EDGE_CONFIG", file.path()}, {"EDGE_DISCOVERY", first.address()}, {"SHALETRAY_LOG", "info"}});
+    Poco::ProcessHandle program = Poco::Process::launch(SHALETRAY, {}, {}, nullptr, nullptr, &errors,
+                                                        {{"EDGE_CONFIG", file.path()},
+                                                         {"EDGE_DISCOVERY", first.address()},
+                                                         {"SHALETRAY_LOG", "info"},
+                                                         {"SHALETRAY_SETTINGS", own.path()}});
     Poco::PipeInputStream log(errors);
     const auto logged = [&](const std::string& text) {
         std::string line;
@@ -440,18 +443,23 @@
         }
         return line;
     };
-    const std::string listens = logged(" listens on ");
-    Client client(listens.substr(listens.rfind(' ') + 1));
+    const std::string listens = logged(" address=");
+    Client client(listens.substr(listens.rfind('=') + 1));
     EXPECT_EQ(client.ask("/read").status, 200);
     EXPECT_EQ(a.requests, 1);
     write("{");
     kill(program.id(), SIGHUP);
-    EXPECT_NE(logged("not reloaded"), "");
+    EXPECT_NE(logged("event=reload.failed"), "");
     EXPECT_EQ(client.ask("/read").status, 200);    // on the same connection
     write(test::config_text(second.address()));
     kill(program.id(), SIGHUP);
-    EXPECT_NE(logged("discovery moves"), "");
+    EXPECT_NE(logged("event=discovery.moved"), "");
     while (b.requests == 0) ASSERT_EQ(client.ask("/read").status, 200);
+    std::ofstream(own.path()) << "log: form: \"json\"\n";
+    kill(program.id(), SIGHUP);
+    EXPECT_NE(logged("\"event\":\"reload.nothing\""), "");
+    std::ofstream(own.path()) << "log: level: \"error\"\n";
+    kill(program.id(), SIGHUP);
     kill(program.id(), SIGTERM);
     EXPECT_NE(logged("reloads: done=1 failed=1"), "");
     EXPECT_EQ(program.wait(), 0);
--- /dev/null
+++ b/tests/log_test.cpp
@@ -0,0 +1,67 @@
+// The log's lines and the names that the operators' page promises.
+#include "core/log.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <regex>
+#include <set>
+
+namespace shaletray {
+namespace {
+
+TEST(Log, HasTheNamesThatThePagePromisesAndNoOthers) {
+    std::set<std::string> names, promised;
+    for (int i = 0; i < static_cast<int>(Event::kCount); ++i) {
+        const std::string name(name_of(static_cast<Event>(i)));
+        EXPECT_TRUE(std::regex_match(name, std::regex("[a-z]+([._][a-z]+)*"))) << name;
+        EXPECT_TRUE(names.insert(name).second) << name;
+    }
+    std::ifstream page(LOG_PAGE);
+    ASSERT_TRUE(page);
+    std::smatch found;
+    for (std::string line; std::getline(page, line);)
+        if (std::regex_search(line, found, std::regex("^\\| `([a-z._]+)` \\| (error|warning|info|debug) ")))
+            promised.insert(found[1]);
+    EXPECT_EQ(promised, names);
+}
+
+TEST(Log, LinesCannotBeForgedByWhatOthersSent) {
+    const std::string evil = "x\nlevel=error event=failed \"y\" \x01 \xff \xc3\xb1";
+    const std::string line =
+        log_line(LogForm::KeyValue, Event::CounterLost, {kv("address", "127.0.0.1:1"), kv("why", evil)});
+    EXPECT_EQ(line,
+              "event=counter.lost address=127.0.0.1:1 why=\"x\\nlevel=error event=failed \\\"y\\\" \\u0001 "
+              "\\ufffd \xc3\xb1\"");
+    const std::string json =
+        "{" + log_line(LogForm::Json, Event::CounterLost, {kv("why", evil), kv("n", 3)}) + "}";
+    const auto read = nlohmann::json::parse(json);
+    EXPECT_EQ(read["event"], "counter.lost");
+    EXPECT_EQ(read["why"], "x\nlevel=error event=failed \"y\" \x01 \xef\xbf\xbd \xc3\xb1");
+    EXPECT_EQ(read["n"], "3");
+    EXPECT_EQ(log_line(LogForm::KeyValue, Event::Listening, {kv("name", "")}), "event=listening name=\"\"");
+}
+
+TEST(Log, WritesWhatTheLevelLetsThrough) {
+    const LogLevel before = log_level();
+    EXPECT_FALSE(set_log_level("loud"));
+    EXPECT_EQ(log_level(), before);
+    ASSERT_TRUE(set_log_level("warning"));
+    testing::internal::CaptureStderr();
+    log(LogLevel::Info, Event::ReloadNothing);
+    log(LogLevel::Warning, Event::AcceptFailed, {kv("why", "none left")});
+    set_log_form(LogForm::Json);
+    log(LogLevel::Error, Event::Failed, {kv("why", "none left")});
+    set_log_form(LogForm::KeyValue);
+    const std::string out = testing::internal::GetCapturedStderr();
+    set_log_level(before);
+    EXPECT_TRUE(std::regex_match(
+        out, std::regex("time=[0-9-]+T[0-9:.]+Z level=warning event=accept.failed why=\"none left\"\n"
+                        "\\{\"time\":\"[0-9-]+T[0-9:.]+Z\",\"level\":\"error\",\"event\":\"failed\",\"why\":"
+                        "\"none left\"\\}\n")))
+        << out;
+}
+
+}    // namespace
+}    // namespace shaletray
