Keep the laboratory's fronts to the gateways of each customer's set

Fronts sent customers to any gateway; one outside of a customer's set holds no part of its ceiling, and refuses. The protocol has fronts spread each customer's requests over its set alone. With three gateways, as in all that is held against reality, it made no difference.

Change: clients choose within the set, and the set is worked out in one place for both worlds.

--- a/lab/experiment_capacity.cpp
+++ b/lab/experiment_capacity.cpp
@@ -130,7 +130,7 @@
         s.gateways = 1;
         s.servers = kServers;
         s.plans = {{"wide", 1e6, 1e6, 0, 0.0, 0.0, 0.0, 1.0, 0.0, 0.0},
-                   {"narrow", kNarrow, 2.0 * kNarrow, 0, 0.0, 0.0, 0.0, 1.0, 0.0, 0.0}};
+                   {"narrow", kNarrow, 2.0, 0, 0.0, 0.0, 0.0, 1.0, 0.0, 0.0}};
         std::string members;
         for (int i = 0; i < kServers; ++i)
             members +=
--- a/lab/live.cpp
+++ b/lab/live.cpp
@@ -529,14 +529,13 @@
     live_.asked(id, a);
     const auto& cls = lab_classes()[static_cast<std::size_t>(a.cls)];
     const bool get = cls.repeat == valehall::Repeat::Safe;
-    const int width = std::min(live_.s_.gateways, 3);
+    const int width = set_width(live_.s_);
     const std::string text = fmt::format(
         "{} /{}/{} HTTP/1.1\r\nHost: lab\r\nX-Correlation-Id: {}\r\nX-Tier: {}\r\nCookie: "
         "customer={:016x}\r\n"
         "X-Call-Terms: units={},spread={},first={}\r\nX-Time-Left: {}u\r\n{}\r\n",
         get ? "GET" : "POST", cls.name, a.request, id, live_.s_.plans[static_cast<std::size_t>(a.plan)].name,
-        static_cast<std::uint64_t>(a.customer), a.units, width,
-        static_cast<std::uint64_t>(a.customer) % static_cast<std::uint64_t>(live_.s_.gateways),
+        static_cast<std::uint64_t>(a.customer), a.units, width, first_of(live_.s_, a.customer),
         a.left.count(),
         get ? ""
         : cls.repeat == valehall::Repeat::Keyed
--- a/src/lab/clients.cpp
+++ b/src/lab/clients.cpp
@@ -113,17 +113,23 @@
     ask(number, r);
 }
 
-int Clients::pick_gateway() {
+// One of the customer's set: the front spreads each customer's requests over those alone.
+int Clients::pick_gateway(const Request& r) {
     const TimePoint now = world_.now();
     if (now >= favourite_until_) {
-        favourite_ = static_cast<int>(random_() % static_cast<std::uint64_t>(s_.gateways));
+        favourite_ = random_();
         favourite_until_ = now + kFavourite;
     }
-    const bool to_it = real() < s_.uneven;
-    // With none that it knows of, a front tries any.
-    if (alive_.empty()) return static_cast<int>(random_() % static_cast<std::uint64_t>(s_.gateways));
-    if (to_it && std::binary_search(alive_.begin(), alive_.end(), favourite_)) return favourite_;
-    return alive_[random_() % alive_.size()];
+    const int width = set_width(s_), first = first_of(s_, r.customer);
+    std::vector<int> alive;
+    for (int i = 0; i < width; ++i)
+        if (const int g = (first + i) % s_.gateways; std::binary_search(alive_.begin(), alive_.end(), g))
+            alive.push_back(g);
+    const bool to_favourite = real() < s_.uneven;
+    // With none that it knows of, a front tries any of them.
+    if (alive.empty())
+        return (first + static_cast<int>(random_() % static_cast<std::uint64_t>(width))) % s_.gateways;
+    return alive[(to_favourite ? favourite_ : random_()) % alive.size()];
 }
 
 void Clients::ask(std::uint64_t number, Request& r) {
@@ -133,7 +139,7 @@
         ++figures.refused;
         return finish(open_.find(number), 1);
     }
-    r.gateway = pick_gateway();
+    r.gateway = pick_gateway(r);
     ++r.tries;
     ++figures.tries;
     r.sent = now;
--- a/src/lab/clients.h
+++ b/src/lab/clients.h
@@ -76,7 +76,7 @@
     double real() { return std::uniform_real_distribution<>(0.0, 1.0)(random_); }
     std::string course(std::uint64_t number, const Request& r, const std::string& what) const;
     void arrive();
-    int pick_gateway();
+    int pick_gateway(const Request& r);
     void ask(std::uint64_t number, Request& r);
     void finish(std::unordered_map<std::uint64_t, Request>::iterator it, std::uint64_t how);
 
@@ -91,7 +91,7 @@
     std::set<std::uint64_t> gone_, seen_;
     std::vector<int> alive_;
     std::uint64_t last_ = 0;
-    int favourite_ = 0;
+    std::uint64_t favourite_ = 0;    // which of each set, for a while
     TimePoint favourite_until_{};
     Latency latency_;
 };
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -337,9 +337,8 @@
         a.plan_index = ask.plan;
         a.units = ask.units;
         a.budget = ask.budget;
-        a.width = std::min(l_.s.gateways, 3);
-        a.first_gateway = static_cast<int>(static_cast<std::uint64_t>(ask.customer) %
-                                           static_cast<std::uint64_t>(l_.s.gateways));
+        a.width = set_width(l_.s);
+        a.first_gateway = first_of(l_.s, ask.customer);
         // The engine passes the head on as it is: the class, for the server, and whose it is, for the rules.
         a.payload.head = fmt::format("{}{:x}", static_cast<char>('0' + ask.cls), ask.request);
         const RequestId id = life_->engine->take(p, std::move(a));
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -104,6 +104,12 @@
     Scenario drawn() const;
 };
 
+// A customer's set of gateways, as its requests name it.
+inline int set_width(const Scenario& s) { return s.gateways < 3 ? s.gateways : 3; }
+inline int first_of(const Scenario& s, valehall::CustomerId customer) {
+    return static_cast<int>(static_cast<std::uint64_t>(customer) % static_cast<std::uint64_t>(s.gateways));
+}
+
 // What a scenario's gateways are told; the same in virtual time and on sockets.
 enum LabClass : int { ClaimRead, Approve, ClaimSubmit };
 const std::vector<valehall::ClassSettings>& lab_classes();
