--- a/lab/experiment_capacity.cpp
+++ b/lab/experiment_capacity.cpp
@@ -152,12 +152,7 @@
         std::ofstream(path) << config;
         gateway_ =
             std::make_unique<Process>(std::vector<std::string>{programs_ + "/shaletray"},
-                                      std::map<std::string, std::string>{{"EDGE_CONFIG", path.string()},
-                                                                         {"EDGE_NAME", ""},
-                                                                         {"EDGE_LISTEN", ""},
-                                                                         {"EDGE_DISCOVERY", ""},
-                                                                         {"SHALETRAY_SETTINGS", ""}},
-                                      (folder_ / "n0.log").string());
+                                      gateway_environment(path.string()), (folder_ / "n0.log").string());
         for (int i = 0; i < 100; ++i) {
             if (load(address_, 20.0, 0.2, 4, false, seed_).ok() > 0) return;
         }
--- a/lab/harness.cpp
+++ b/lab/harness.cpp
@@ -124,6 +124,15 @@
     return {std::istreambuf_iterator<char>(in), {}};
 }
 
+std::map<std::string, std::string> gateway_environment(const std::string& config,
+                                                       const std::string& settings) {
+    return {{"EDGE_CONFIG", config},
+            {"EDGE_NAME", ""},
+            {"EDGE_LISTEN", ""},
+            {"EDGE_DISCOVERY", ""},
+            {"SHALETRAY_SETTINGS", settings}};
+}
+
 int free_port() {
     const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
     return socket.address().port();
--- a/lab/harness.h
+++ b/lab/harness.h
@@ -45,6 +45,10 @@
 
 int free_port();
 
+// What a gateway under test is started with; nothing of ours may stand in its way.
+std::map<std::string, std::string> gateway_environment(const std::string& config,
+                                                       const std::string& settings = {});
+
 class Acceptor {
 public:
     using Take = std::function<void(const Poco::Net::StreamSocket&)>;
--- a/lab/rig.cpp
+++ b/lab/rig.cpp
@@ -130,11 +130,7 @@
                          {"settings", settings}};
     const auto path = folder_ / fmt::format("n{}.json", g);
     std::ofstream(path) << config;
-    std::map<std::string, std::string> environment{{"EDGE_CONFIG", path.string()},
-                                                   {"EDGE_NAME", ""},
-                                                   {"EDGE_LISTEN", ""},
-                                                   {"EDGE_DISCOVERY", ""},
-                                                   {"SHALETRAY_SETTINGS", ""}};
+    std::map<std::string, std::string> environment = gateway_environment(path.string());
     if (!cue.empty()) {
         const auto file = folder_ / fmt::format("n{}.cue", g);
         std::ofstream(file) << cue;
