Measure seconds and quantiles, and judge faults and rules, in one place of the laboratory

Change: lab/measure.h has seconds and quantile_in(); touches() and name_rules() serve all. Behaviour stays.

The gateway's code is untouched.

--- a/lab/live.cpp
+++ b/lab/live.cpp
@@ -18,6 +18,7 @@
 #include "harness.h"
 #include "lab/clients.h"
 #include "lab/kernel.h"
+#include "lab/measure.h"
 #include "lab/server.h"
 #include "platform/messages.h"
 #include "stand_in_counter.h"
@@ -38,8 +39,6 @@
 constexpr std::size_t kLongestMail = 2048;
 constexpr double kLateShare = 0.01;
 
-double secs(Duration d) { return std::chrono::duration<double>(d).count(); }
-
 std::string text_of(valehall::Repeat repeat) {
     switch (repeat) {
         case valehall::Repeat::Safe: return "safe";
@@ -736,10 +735,7 @@
         default: break;
     }
     for (int i = 0; i < s_.servers; ++i) {
-        const bool its = f.kind == Fault::Kind::RoomLost ? i % s_.rooms == f.room
-                         : f.kind == Fault::Kind::Heavy  ? true
-                                                         : i == f.server;
-        if (its) servers_[static_cast<std::size_t>(i)]->trouble(f, begins);
+        if (touches(s_, f, i)) servers_[static_cast<std::size_t>(i)]->trouble(f, begins);
     }
 }
 
@@ -826,9 +822,7 @@
     if (error) std::rethrow_exception(error);
     if (!running_) throw std::runtime_error(trouble_);
     LiveFigures out;
-    for (const char* name : {"one answer", "in time", "unasked repeats", "drains", "cold servers", "ceilings",
-                             "held-back refusals"})
-        out.figures.rules[name];
+    name_rules(out.figures);
     Latency latency = no_latency();
     for (const auto& front : fronts_) {
         Clients& c = front->clients();
--- a/lab/rig.cpp
+++ b/lab/rig.cpp
@@ -11,9 +11,6 @@
 
 using Json = nlohmann::json;
 
-double secs(Duration d) { return std::chrono::duration<double>(d).count(); }
-Duration from_secs(double s) { return Duration(static_cast<std::int64_t>(s * 1e6)); }
-
 double environment_number(const char* name, double fallback, double least, double most) {
     const char* const text = std::getenv(name);
     if (text == nullptr || *text == '\0') return fallback;
--- a/lab/rig.h
+++ b/lab/rig.h
@@ -17,11 +17,10 @@
 #include <vector>
 
 #include "harness.h"
+#include "lab/measure.h"
 
 namespace shaletray::lab {
 
-double secs(Duration d);
-Duration from_secs(double s);
 // A figure from the environment; throws where it is none or out of range.
 double environment_number(const char* name, double fallback, double least, double most);
 
--- a/src/lab/clients.cpp
+++ b/src/lab/clients.cpp
@@ -7,6 +7,7 @@
 #include <numeric>
 
 #include "lab/kernel.h"
+#include "lab/measure.h"
 
 namespace shaletray::lab {
 namespace {
@@ -17,9 +18,6 @@
 constexpr Duration kFavourite = 10s;     // for which a front prefers a gateway
 constexpr Duration kComesBack = 20ms;    // the least that a client waits before it asks again
 
-double secs(Duration d) { return std::chrono::duration<double>(d).count(); }
-Duration from_secs(double s) { return Duration(static_cast<std::int64_t>(s * 1e6)); }
-
 }    // namespace
 
 Latency no_latency() {
@@ -27,16 +25,7 @@
         boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(2000, 0.1, 1e5));
 }
 
-double quantile_ms(const Latency& h, double q) {
-    double all = 0.0;
-    for (const auto& cell : boost::histogram::indexed(h)) all += *cell;
-    double sum = 0.0;
-    for (const auto& cell : boost::histogram::indexed(h)) {
-        sum += *cell;
-        if (sum >= q * all && all > 0.0) return cell.bin(0).center();
-    }
-    return 0.0;
-}
+double quantile_ms(const Latency& h, double q) { return quantile_in(h, q); }
 
 std::vector<double> activity(const Scenario& s) {
     const std::uint64_t each = s.customers / static_cast<std::uint64_t>(s.fronts);
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -7,6 +7,8 @@
 #include <cmath>
 #include <stdexcept>
 
+#include "lab/measure.h"
+
 namespace shaletray::lab {
 namespace {
 
@@ -17,9 +19,7 @@
 constexpr double kLateMs = 5.0;    // of the tool's own lag at p99: beyond it, it ran late
 constexpr std::size_t kMostWaiting = 1'000'000;
 
-double secs(Duration d) { return std::chrono::duration<double>(d).count(); }
 double ms(Duration d) { return std::max(1e-3, 1e3 * secs(d)); }
-Duration from_secs(double s) { return Duration(static_cast<std::int64_t>(s * 1e6)); }
 
 class Constant : public Arrivals {
 public:
@@ -115,15 +115,7 @@
     return out;
 }
 
-double quantile_of(const Milliseconds& h, double q) {
-    double all = 0.0, sum = 0.0;
-    for (const auto& cell : bh::indexed(h)) all += *cell;
-    for (const auto& cell : bh::indexed(h)) {
-        sum += *cell;
-        if (all > 0.0 && sum >= q * all) return cell.bin(0).center();
-    }
-    return 0.0;
-}
+double quantile_of(const Milliseconds& h, double q) { return quantile_in(h, q); }
 
 LoadFigures::LoadFigures() : latency(histogram()), lag(histogram()) {}
 
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -11,13 +11,13 @@
 #include <fstream>
 #include <iterator>
 
+#include "lab/measure.h"
+
 namespace shaletray::lab {
 namespace {
 
 using Json = nlohmann::json;
 
-double secs(Duration d) { return std::chrono::duration<double>(d).count(); }
-
 std::string escaped(const std::string& text) {
     std::string out;
     for (const char c : text) {
@@ -30,17 +30,7 @@
     return out;
 }
 
-double quantile_of(const Coarse& h, double q) {
-    double all = 0.0;
-    for (const auto& cell : boost::histogram::indexed(h)) all += *cell;
-    if (all == 0.0) return std::nan("");
-    double sum = 0.0;
-    for (const auto& cell : boost::histogram::indexed(h)) {
-        sum += *cell;
-        if (sum >= q * all) return cell.bin(0).center();
-    }
-    return std::nan("");
-}
+double quantile_of(const Coarse& h, double q) { return quantile_in(h, q, std::nan("")); }
 
 // Of the scenario's own seconds; what follows its end is left out of the plots.
 std::size_t seconds_of(const Figures& f) { return f.served_by_second.size(); }
--- a/src/lab/scenario_parts.cpp
+++ b/src/lab/scenario_parts.cpp
@@ -9,6 +9,7 @@
 #include <stdexcept>
 
 #include "lab/kernel.h"
+#include "lab/measure.h"
 #include "lab/world.h"
 
 namespace shaletray::lab {
@@ -18,8 +19,6 @@
 
 constexpr Duration kNoticed = 1s;    // until discovery takes a server that ended off its list
 
-double secs(Duration d) { return std::chrono::duration<double>(d).count(); }
-
 bool ends_servers(Fault::Kind kind) { return kind == Fault::Kind::Crash || kind == Fault::Kind::RoomLost; }
 
 }    // namespace
@@ -54,6 +53,17 @@
     }
 }
 
+bool touches(const Scenario& s, const Fault& f, int server) {
+    if (f.kind == Fault::Kind::RoomLost) return server % s.rooms == f.room;
+    return f.kind == Fault::Kind::Heavy || server == f.server;
+}
+
+void name_rules(Figures& figures) {
+    for (const char* name : {"one answer", "in time", "unasked repeats", "drains", "cold servers", "ceilings",
+                             "held-back refusals"})
+        figures.rules[name];
+}
+
 void Scenario::check() const {
     const auto need = [](bool good, const char* what) {
         if (!good) throw std::invalid_argument(std::string("scenario: ") + what);
@@ -237,7 +247,7 @@
     std::vector<Listing> out;
     for (const Fault& f : s.faults) {
         for (int i = 0; i < s.servers; ++i) {
-            if (f.kind == Fault::Kind::RoomLost ? i % s.rooms != f.room : i != f.server) continue;
+            if (!touches(s, f, i)) continue;
             if (f.kind == Fault::Kind::Drain) {
                 out.push_back({f.at, i, valehall::HostState::Draining, Duration(-1)});
                 out.push_back({f.at + f.lasts, i, valehall::HostState::Healthy, Duration(-1)});
--- a/src/lab/server.cpp
+++ b/src/lab/server.cpp
@@ -5,13 +5,9 @@
 #include <algorithm>
 #include <cmath>
 
-namespace shaletray::lab {
-namespace {
-
-double secs(Duration d) { return std::chrono::duration<double>(d).count(); }
-
-}    // namespace
+#include "lab/measure.h"
 
+namespace shaletray::lab {
 EmulatedServer::EmulatedServer(const Scenario& scenario, std::uint64_t seed, TimePoint start,
                                ServerWorld& world)
     : m_(scenario.model), random_(seed), world_(world), start_(start) {
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -15,6 +15,7 @@
 #include "lab/board.h"
 #include "lab/clients.h"
 #include "lab/kernel.h"
+#include "lab/measure.h"
 #include "lab/server.h"
 #include "plans/spread.h"
 
@@ -36,8 +37,6 @@
 constexpr Duration kLeastLook = 25ms, kLongestLook = 250ms;    // at the counter, the ledger and the book
 constexpr Duration kLead = 2s;                                 // from a plan's change to its effect
 
-double secs(Duration d) { return std::chrono::duration<double>(d).count(); }
-
 // ---- messages ----
 
 struct Ask {
@@ -702,10 +701,7 @@
             case Fault::Kind::DiscoverySilent: break;    // the listings have it
             default:
                 for (int i = 0; i < s.servers; ++i) {
-                    const bool its = f.kind == Fault::Kind::RoomLost ? i % s.rooms == f.room
-                                     : f.kind == Fault::Kind::Heavy  ? true
-                                                                     : i == f.server;
-                    if (its) both(l.server(i));
+                    if (touches(s, f, i)) both(l.server(i));
                 }
         }
     }
@@ -740,9 +736,7 @@
     kernel.run(kStart + s.time + s.patience + 1s);
 
     Figures figures;
-    for (const char* name : {"one answer", "in time", "unasked repeats", "drains", "cold servers", "ceilings",
-                             "held-back refusals"})
-        figures.rules[name];
+    name_rules(figures);
     std::vector<Sent> sent;
     std::vector<Terms> changes;
     for (GatewayEntity* g : gateways) {
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -63,6 +63,9 @@
     double by_to = 0.0, part_to = 0.0;
 };
 bool of_servers(Fault::Kind kind);
+struct Scenario;
+// Whether a fault that is drawn is one of that server.
+bool touches(const Scenario& s, const Fault& f, int server);
 const char* name_of(Fault::Kind kind);
 
 // A plan that changes in service, by the plan book; takes effect a lead after `at`.
@@ -183,6 +186,8 @@
 // One store that sees all gateways. `late`: of what is told of a send, at most.
 void check_ceilings(const Scenario& s, std::vector<Sent>&& sent, const std::vector<Terms>& changes,
                     TimePoint start, Duration late, Figures& figures);
+// All rules, so that one that nothing called for is told as such.
+void name_rules(Figures& figures);
 // Takes what one front, server or gateway counted into the whole.
 void add_figures(Figures& to, const Figures& from);
 
