Charge the quota the true units that answers tell in X-Cost-Units, not the guess

Change: platform reads X-Cost-Units (settled_units_of: untold, malformed, twice); the engine charges a request's first good answer's true units to the module and to the ledger (Ledger::settled, quota only: the ceiling goes by the guess); an answer with none, or no number within mostUnits, leaves the guess, is counted (units: settled= untold=) and logged as server.units_untold. Tests: a case table of the header, a gateway on real sockets whose server tells 3 units for a guess of 2 (2 served of a store of 6, 3 where it tells nothing), the ledger's quota and ceiling.

--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -23,6 +23,7 @@
     out += fmt::format("lists: full={} changed={} watches={} bad_lines={}\n", lists_full, lists_changed,
                        watches, bad_lines);
     out += fmt::format("reloads: done={} failed={}\n", reloads, reloads_failed);
+    out += fmt::format("units: settled={} untold={}\n", units_settled, units_untold);
     return out;
 }
 
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -21,6 +21,7 @@
     Count servers_dialled = 0, servers_dial_failed = 0, servers_reused = 0, servers_open = 0;
     Count lists_full = 0, lists_changed = 0, watches = 0, bad_lines = 0, bad_answers = 0;
     Count reloads = 0, reloads_failed = 0;
+    Count units_settled = 0, units_untold = 0;    // good answers that told their true units, or did not
 
     // One line a subject.
     std::string text() const;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -22,6 +22,8 @@
       most_open_(static_cast<std::size_t>(std::max(1, settings.max_open))),
       most_attempts_(static_cast<std::size_t>(std::max(0, settings.send_cap))),
       most_advice_(settings.max_retry_after),
+      settles_(settings.settles),
+      most_units_(std::max(1.0, settings.most_units)),
       clock_(clock),
       timers_(timers),
       counters_(counters) {}
@@ -124,20 +126,42 @@
     feed(valehall::AttemptStarted{id.request, id.number, attempt->host});
 }
 
-void Engine::attempt_ended(AttemptId id, Outcome outcome, LoadReport&& report, Payload&& answer) {
+void Engine::attempt_ended(AttemptId id, Outcome outcome, LoadReport&& report, Payload&& answer,
+                           double settled_units) {
     Attempt* attempt = find_out(id);
     if (attempt == nullptr) return;
     Request& request = *find(id.request);
+    const double settled = outcome == Outcome::Ok ? settle(request, settled_units) : 0.0;
     // A good answer finishes the request by itself, and so does the break of a stream.
     Front* const front = outcome == Outcome::Ok || attempt->began ? close(request) : nullptr;
     if (front != nullptr) {
         if (outcome == Outcome::Ok) front->served(std::move(answer));
         else front->failed();
     }
-    end(id, *attempt, outcome, std::move(report), request.front == nullptr);
+    end(id, *attempt, outcome, std::move(report), request.front == nullptr, settled);
     forget_if_done(id.request);
 }
 
+// A request's first good answer tells its true units; a later one would tell them again.
+double Engine::settle(Request& request, double told) {
+    if (!settles_ || request.settled) return 0.0;
+    request.settled = true;
+    if (told <= 0.0 || told > most_units_) {
+        ++counters_.units_untold;
+        static LogGate gate;
+        if (gate.open())
+            log(LogLevel::Warning, Event::ServerUnitsUntold,
+                {kv("told", told == kUnitsUntold ? "nothing" : "no such number"),
+                 kv("guess", request.arrival.units)});
+        return 0.0;
+    }
+    ++counters_.units_settled;
+    // The quota counts the true units in the end; the ceiling went by the guess, and stays so.
+    if (ledger_ != nullptr)
+        ledger_->settled(request.arrival.customer, told - request.arrival.units, clock_.now());
+    return told;
+}
+
 void Engine::allowances_due() {
     if (ledger_ == nullptr) return;
     const TimePoint now = clock_.now();
@@ -274,13 +298,14 @@
 }
 
 // The one place where an attempt ends: each is told to the module exactly once.
-void Engine::end(AttemptId id, Attempt& attempt, Outcome outcome, LoadReport&& report, bool final) {
+void Engine::end(AttemptId id, Attempt& attempt, Outcome outcome, LoadReport&& report, bool final,
+                 double settled_units) {
     timers_.cancel(attempt.timeout);
     attempt.out = false;
     --find(id.request)->out;
     ++counters_.outcomes[static_cast<std::size_t>(outcome)];
     feed(valehall::AttemptFinished{id.request, id.number, attempt.host, outcome, clock_.now() - attempt.sent,
-                                   0.0, final, std::move(report)});
+                                   settled_units, final, std::move(report)});
 }
 
 void Engine::time_out(AttemptId id) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -56,6 +56,10 @@
     virtual void admitted(const Admission& admission) = 0;
 };
 
+// What a good answer tells of its request's true units, where units are settled afterwards: a number above 0,
+// or one of these.
+constexpr double kUnitsUntold = 0.0, kUnitsMalformed = -1.0;
+
 struct AttemptId {
     RequestId request{};
     int number = 0;
@@ -114,7 +118,11 @@
     void withdraw(RequestId request);
 
     void attempt_began(AttemptId attempt);    // its answer's first part is here
-    void attempt_ended(AttemptId attempt, Outcome outcome, LoadReport&& report = {}, Payload&& answer = {});
+    // `settled_units` counts only on a good answer, where the settings say that units are settled afterwards:
+    // the quota, here and in the ledger, is charged those instead of the guess; where the answer tells none
+    // that can be used, the guess stands, and that is counted and logged.
+    void attempt_ended(AttemptId attempt, Outcome outcome, LoadReport&& report = {}, Payload&& answer = {},
+                       double settled_units = kUnitsUntold);
     void probe_ended(HostId host, Outcome outcome, Duration took, LoadReport&& report = {});
     void list_heard(valehall::HostList&& list);
     void mail_heard(PeerId from, std::vector<std::uint8_t>&& bytes);
@@ -138,6 +146,7 @@
         Timers::Id overdue = 0;
         std::vector<Attempt> attempts;
         int out = 0;
+        bool settled = false;    // its true units were heard, or could not be
     };
 
     Request* find(RequestId id);
@@ -155,7 +164,10 @@
     void admit(const Request& request, TimePoint now, bool is_sent);
     Front* close(Request& request);
     Front* drop(RequestId id);
-    void end(AttemptId id, Attempt& attempt, Outcome outcome, LoadReport&& report, bool final);
+    void end(AttemptId id, Attempt& attempt, Outcome outcome, LoadReport&& report, bool final,
+             double settled_units = 0.0);
+    // The true units of a request that was answered well, or 0 where the guess stands.
+    double settle(Request& request, double told);
     void time_out(AttemptId id);
     void give_up(RequestId id);
     void forget_if_done(RequestId id);
@@ -164,6 +176,8 @@
     std::size_t most_open_;
     std::size_t most_attempts_;
     Duration most_advice_;
+    bool settles_;
+    double most_units_;    // that one request counts
     const Clock& clock_;
     Timers& timers_;
     Counters& counters_;
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -22,6 +22,7 @@
     "discovery.bad_entries",
     "discovery.broken",
     "server.spoilt_answer",
+    "server.units_untold",
     "socket.failed",
     "accept.failed",
     "engine.failed",
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -24,6 +24,7 @@
     DiscoveryBadEntries,
     DiscoveryBroken,
     ServerSpoiltAnswer,
+    ServerUnitsUntold,    // a good answer where units are settled afterwards tells none, or no such number
     SocketFailed,
     AcceptFailed,
     EngineFailed,
--- a/src/limits/ledger.cpp
+++ b/src/limits/ledger.cpp
@@ -344,6 +344,14 @@
     if (plan(*c).ceiling_rate > 0.0) c->ceiling.level -= units;
 }
 
+void Ledger::settled(CustomerId id, double difference, TimePoint now) {
+    Customer* c = find(id);
+    if (c == nullptr) return;
+    c->quota.refill(now);
+    // Given back, it holds no more than it could have held.
+    c->quota.level = std::min(c->quota.level - difference, c->quota.cap);
+}
+
 // ---- plans that change in service ----
 
 void Ledger::define(int plan, LedgerTerms terms) {
--- a/src/limits/ledger.h
+++ b/src/limits/ledger.h
@@ -90,6 +90,9 @@
                                    TimePoint now, const Standing& standing = {});
     // A try was first sent on.
     void admitted(CustomerId customer, double units, TimePoint now);
+    // Its answer told its true units: the quota is charged `difference` more (less, below 0), the ceiling,
+    // which goes by the guess, nothing.
+    void settled(CustomerId customer, double difference, TimePoint now);
 
     // ---- plans that change in service ----
     // Terms under a number from settings.plans.size() on. The same number always means the same.
--- a/src/net/server_pool.cpp
+++ b/src/net/server_pool.cpp
@@ -122,14 +122,17 @@
         !spoilt && (outcome == Outcome::Ok || outcome == Outcome::Error || outcome == Outcome::Full);
     LoadReport load;
     Payload answer;
+    double units = kUnitsUntold;
     if (spoilt) {
         ++counters_.bad_answers;
         if (gate_.open())
             log(LogLevel::Warning, Event::ServerSpoiltAnswer, {kv("server", connection.address())});
     } else if (whole) {
         load = report_of(connection.parser(), connection.input());
-        if (outcome == Outcome::Ok && entry.attempt)
+        if (outcome == Outcome::Ok && entry.attempt) {
             answer = answer_of(connection.parser(), connection.input());
+            units = settled_units_of(connection.parser(), connection.input());
+        }
     } else if (outcome == Outcome::ConnectFailed) {
         ++counters_.servers_dial_failed;
     }
@@ -147,12 +150,12 @@
     } else {
         drop(connection);
     }
-    report(attempt, host, outcome, took, std::move(load), std::move(answer));
+    report(attempt, host, outcome, took, std::move(load), std::move(answer), units);
 }
 
 void ServerPool::report(const std::optional<AttemptId>& attempt, HostId host, Outcome outcome, Duration took,
-                        LoadReport&& load, Payload&& answer) {
-    if (attempt) engine_.attempt_ended(*attempt, outcome, std::move(load), std::move(answer));
+                        LoadReport&& load, Payload&& answer, double units) {
+    if (attempt) engine_.attempt_ended(*attempt, outcome, std::move(load), std::move(answer), units);
     else engine_.probe_ended(host, outcome, took, std::move(load));
 }
 
--- a/src/net/server_pool.h
+++ b/src/net/server_pool.h
@@ -55,7 +55,7 @@
     // A connection to the host, kept or new; none, and why, where there can be none.
     Entry* acquire(HostId host, Outcome& why_not);
     void report(const std::optional<AttemptId>& attempt, HostId host, Outcome outcome, Duration took,
-                LoadReport&& load, Payload&& answer);
+                LoadReport&& load, Payload&& answer, double units = kUnitsUntold);
     void drop(ServerConnection& connection);
     void drop_oldest_idle();
     void sweep();
--- a/src/platform/messages.cpp
+++ b/src/platform/messages.cpp
@@ -12,7 +12,7 @@
 constexpr std::string_view kId = "X-Correlation-Id", kPlan = "X-Tier", kTimeLeft = "X-Time-Left",
                            kKey = "Idempotency-Key", kTerms = "X-Call-Terms", kLoad = "X-Backend-Load",
                            kUnprocessed = "X-Unprocessed", kType = "Content-Type", kCookie = "Cookie",
-                           kHost = "Host", kReservation = "X-Reservation";
+                           kHost = "Host", kReservation = "X-Reservation", kCostUnits = "X-Cost-Units";
 
 constexpr double kMostReported = 1e6;
 constexpr std::uint64_t kCustomers = 1ULL << 33;
@@ -227,6 +227,16 @@
     return parse_load(parser.header(buffer, kLoad));
 }
 
+double settled_units_of(const http::Parser& parser, const http::Buffer& buffer) {
+    if (parser.count(buffer, kCostUnits) == 0) return kUnitsUntold;
+    double units = 0.0;
+    // Given twice, either might be the true one.
+    if (parser.count(buffer, kCostUnits) > 1 ||
+        !parse_number(http::trimmed(parser.header(buffer, kCostUnits)), units))
+        return kUnitsMalformed;
+    return units > 0.0 && units <= kMostReported ? units : kUnitsMalformed;
+}
+
 Payload answer_of(const http::Parser& parser, const http::Buffer& buffer) {
     Payload answer;
     if (const std::string_view type = parser.header(buffer, kType); !type.empty())
--- a/src/platform/messages.h
+++ b/src/platform/messages.h
@@ -37,6 +37,9 @@
 Outcome outcome_of(const http::Parser& parser, const http::Buffer& buffer);
 LoadReport report_of(const http::Parser& parser, const http::Buffer& buffer);
 Payload answer_of(const http::Parser& parser, const http::Buffer& buffer);
+// The true units that a good answer tells where units are settled afterwards ("X-Cost-Units: 3"): above 0.
+// kUnitsUntold where it tells none; kUnitsMalformed where it tells anything else, or twice.
+double settled_units_of(const http::Parser& parser, const http::Buffer& buffer);
 
 // To a client.
 constexpr int kServed = 200, kRefused = 429, kFailed = 502, kNotReady = 503;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -78,6 +78,7 @@
     Mode mode;
     std::atomic<int> requests{0};
     std::atomic<bool> over{false};
+    std::atomic<int> cost{0};    // the true units that its answers tell; 0: none
     HttpStub stub{[this](HTTPServerRequest& request, HTTPServerResponse& response) {
         std::string body;
         Poco::StreamCopier::copyToString(request.stream(), body);
@@ -92,6 +93,7 @@
         if (mode == Mode::Slow) std::this_thread::sleep_for(300ms);
         const std::string answer = request.get("X-Correlation-Id") + ":" + body;
         response.setContentLength(static_cast<int>(answer.size()));
+        if (cost > 0) response.set("X-Cost-Units", std::to_string(cost));
         response.send() << answer;
     }};
     ~Server() { over = true; }
@@ -188,8 +190,9 @@
 
 class Gateway {
 public:
-    Gateway(const std::string& discovery, const std::string& known)
-        : service_(parse_config(test::config_text(discovery, known))) {
+    Gateway(const std::string& discovery, const std::string& known,
+            const std::string& settings = test::kSettings)
+        : service_(parse_config(test::config_text(discovery, known, settings))) {
         thread_ = std::thread([this] {
             service_.run([this] {
                 ++turns;
@@ -364,6 +367,24 @@
     EXPECT_GE(refused, advised);
 }
 
+// The guess is 2 units; 6 are there and never come back. Charged the true 3, the second try leaves 0.
+TEST(Rules, TheQuotaIsChargedTheTrueUnitsThatAnswersTell) {
+    for (const int cost : {3, 0}) {
+        Server server;
+        server.cost = cost;
+        Discovery discovery(member("a", server.stub.address()));
+        Gateway gateway(discovery.address(), member("a", server.stub.address()),
+                        test::settled(test::kSettings));
+        Client client(gateway);
+        int served = 0;
+        for (int i = 0; i < 6; ++i) served += client.ask("/read", "metered").status == 200;
+        const Counters& counters = gateway.end();
+        EXPECT_EQ(served, cost > 0 ? 2 : 3) << "told " << cost;
+        EXPECT_EQ(counters.units_settled, cost > 0 ? 2U : 0U);
+        EXPECT_EQ(counters.units_untold, cost > 0 ? 0U : 3U);    // the guess was charged
+    }
+}
+
 TEST(Operations, AStopAnswersWhatWasTakenAndEndsTheConnection) {
     Server slow(Server::Mode::Slow);
     Discovery discovery(member("a", slow.stub.address()));
--- a/tests/limits/ledger_test.cpp
+++ b/tests/limits/ledger_test.cpp
@@ -98,6 +98,19 @@
     EXPECT_GE(fleet.ceiling(0), 0.25 / 3 - 1e-9);
 }
 
+TEST(Ledger, ChargesTheQuotaTheTrueUnitsAndTheCeilingTheGuess) {
+    Fleet fleet(1);
+    fleet.ask(0, 1, 2.0);
+    Ledger& ledger = fleet.ledgers[0];
+    const double quota = ledger.level(kAnna, fleet.now), ceiling = fleet.ceiling(0);
+    ledger.settled(kAnna, 3.0, fleet.now);    // 5 in truth
+    EXPECT_NEAR(ledger.level(kAnna, fleet.now), quota - 3.0, 1e-9);
+    EXPECT_NEAR(fleet.ceiling(0), ceiling, 1e-9);
+    ledger.settled(kAnna, -100.0, fleet.now);    // given back, never beyond its store
+    EXPECT_LE(ledger.level(kAnna, fleet.now), 20.0 + 1e-9);
+    ledger.settled(CustomerId{99}, 3.0, fleet.now);    // not tracked: nothing
+}
+
 TEST(Ledger, GivesBackWhatWasLeasedWhenTheOthersFallSilentAndTheGiverAfterThat) {
     Fleet fleet;
     fleet.serve(1, 4s);
