Give back the check that no advice means no Retry-After, which a trim took away

Cause: trimming the true units' case table cut up to the end of the function, and the new test had been placed inside the old one's last lines, so EXPECT_EQ(retry_after(0ms), "") of Answers.OutcomesFollowTheProtocolsTable went with it. Seen on reading the whole change again. Change: the line is back where it stood.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -138,6 +138,7 @@
         EXPECT_EQ(outcome_of(parser, buffer), c.outcome) << c.status << " " << c.headers;
     }
     EXPECT_EQ(retry_after(250ms), "Retry-After: 0.250\r\n");
+    EXPECT_EQ(retry_after(0ms), "");
 }
 
 TEST(Answers, TrueUnitsAreReadOrTheGuessStands) {
