Settle true units on the quota that paid at admission, also under reservations

Cause, found on reading the change again: Engine::settle charged the difference to the request's customer in the ledger, while admit() lets the desk charge a request drawn on a reservation to the reservation's account (src/plans/desk.cpp, Desk::admitted). With plans changing in service, the true units of such a request were taken from its owner's quota and the account kept the guess.

Change: Desk::settled charges whoever paid at admission; the choice of payer (account while open, owner once closed) is one function, Desk::payer, that admitted() uses too. Engine::settle goes through the desk where there is one, and the ledger where there is none, as admit() does. What was redeemed of a reservation stays counted by the guess. A test of each payer in the desk's reservation tests; the open account's fails without the change.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -156,9 +156,11 @@
         return 0.0;
     }
     ++counters_.units_settled;
-    // The quota counts the true units in the end; the ceiling went by the guess, and stays so.
-    if (ledger_ != nullptr)
-        ledger_->settled(request.arrival.customer, told - request.arrival.units, clock_.now());
+    // The quota counts the true units in the end, charged where admit() charged the guess; the ceiling went
+    // by the guess, and stays so.
+    const double difference = told - request.arrival.units;
+    if (desk_ != nullptr) desk_->settled(request.ruling, request.arrival.customer, difference, clock_.now());
+    else if (ledger_ != nullptr) ledger_->settled(request.arrival.customer, difference, clock_.now());
     return told;
 }
 
--- a/src/plans/desk.cpp
+++ b/src/plans/desk.cpp
@@ -107,12 +107,19 @@
     ++stats_.redeemed;
     const double sum = redeemed_[ruling.reservation] += units;
     if (redeemed_told_) redeemed_told_(ruling.reservation, sum);
-    // Where the account was closed meanwhile, what was left of it is back with its owner, who pays.
-    const bool closed = !open_.contains(book_.reservation_name(ruling.reservation));
-    ledger_.admitted(closed ? customer : ruling.account, units, now);
+    ledger_.admitted(payer(ruling, customer), units, now);
     if (const auto a = ledger_.retell(customer, now)) told.push_back(*a);
 }
 
+void Desk::settled(const Ruling& ruling, CustomerId customer, double difference, TimePoint now) {
+    ledger_.settled(ruling.reservation == 0 ? customer : payer(ruling, customer), difference, now);
+}
+
+// Where the account was closed meanwhile, what was left of it is back with its owner, who pays.
+CustomerId Desk::payer(const Ruling& ruling, CustomerId customer) const {
+    return open_.contains(book_.reservation_name(ruling.reservation)) ? ruling.account : customer;
+}
+
 void Desk::take(const Change& change, TimePoint now) {
     book_.apply(change);
     ++stats_.changes;
--- a/src/plans/desk.h
+++ b/src/plans/desk.h
@@ -43,6 +43,9 @@
     // It is about to be sent for the first time. Appends what others must be told.
     void admitted(const Ruling& ruling, CustomerId customer, double units, TimePoint now,
                   std::vector<Allowance>& told);
+    // Its answer told its true units: whoever paid at admission is charged `difference` more, as
+    // Ledger::settled. What was redeemed of a reservation stays counted by the guess.
+    void settled(const Ruling& ruling, CustomerId customer, double difference, TimePoint now);
 
     // Told of each sum that is raised, before the attempt is sent.
     void on_redeemed(std::function<void(std::uint64_t version, double units)> told) {
@@ -67,6 +70,8 @@
         int asked_plan = 0;
     };
     static CustomerId account_of(const Reservation& r);
+    // Whose quota pays for a request drawn on a reservation: its account, or its owner once it was closed.
+    CustomerId payer(const Ruling& ruling, CustomerId customer) const;
     int terms_for(const InForce& f);
     void open(const Reservation& r, int like);
     limits::Standing standing(CustomerId customer, int asked_plan, TimePoint now) const;
--- a/tests/plans/desk_test.cpp
+++ b/tests/plans/desk_test.cpp
@@ -275,12 +275,17 @@
     std::vector<valehall::Allowance> told;
     const Desk::Ruling in_flight = f->gateways[0]->desk->rule(kAnna, 0, 0, 1, 2.0, "payroll", f->now, told);
     EXPECT_EQ(in_flight.reservation, c.version);
+    const double account = f->gateways[0]->ledger->level(in_flight.account, f->now);
+    f->gateways[0]->desk->settled(in_flight, kAnna, 1.5, f->now);    // while it is open, the account pays
+    EXPECT_NEAR(f->gateways[0]->ledger->level(in_flight.account, f->now), account - 1.5, 1e-6);
     f->now = kStart + 60s;
     f->tick(0);
     // 36 were left; the store takes 16.
     EXPECT_NEAR(f->gateways[0]->ledger->level(kAnna, f->now), 16.0, 1e-6) << before;
     f->gateways[0]->desk->admitted(in_flight, kAnna, 2.0, f->now, told);
     EXPECT_NEAR(f->gateways[0]->ledger->level(kAnna, f->now), 14.0, 1e-6);
+    f->gateways[0]->desk->settled(in_flight, kAnna, 1.0, f->now);    // 3 in truth: the owner pays it all
+    EXPECT_NEAR(f->gateways[0]->ledger->level(kAnna, f->now), 13.0, 1e-6);
     EXPECT_EQ(f->ask(0, 1.0, "payroll")->reservation, 0u);
 }
 
