Read X-Cost-Units once, and judge how many units may be told in the engine alone

Cause, found on reading the change again: settled_units_of counted the header twice, and bounded the number by the load reports' 1e6 while the engine bounds it again by mostUnits; the engine's check let a NaN through, had one ever come.

Change: one count; the platform says only whether a number above 0 was told once, the engine judges its range, written so that NaN is refused. What ends up charged is as before.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -146,7 +146,7 @@
 double Engine::settle(Request& request, double told) {
     if (!settles_ || request.settled) return 0.0;
     request.settled = true;
-    if (told <= 0.0 || told > most_units_) {
+    if (!(told > 0.0 && told <= most_units_)) {    // none, no number, or more than one request counts
         ++counters_.units_untold;
         static LogGate gate;
         if (gate.open())
--- a/src/platform/messages.cpp
+++ b/src/platform/messages.cpp
@@ -228,13 +228,12 @@
 }
 
 double settled_units_of(const http::Parser& parser, const http::Buffer& buffer) {
-    if (parser.count(buffer, kCostUnits) == 0) return kUnitsUntold;
+    const std::size_t given = parser.count(buffer, kCostUnits);
+    if (given == 0) return kUnitsUntold;
     double units = 0.0;
-    // Given twice, either might be the true one.
-    if (parser.count(buffer, kCostUnits) > 1 ||
-        !parse_number(http::trimmed(parser.header(buffer, kCostUnits)), units))
-        return kUnitsMalformed;
-    return units > 0.0 && units <= kMostReported ? units : kUnitsMalformed;
+    // Given twice, either might be the true one. How many units may be told is the engine's to judge.
+    const bool read = given == 1 && parse_number(http::trimmed(parser.header(buffer, kCostUnits)), units);
+    return read && units > 0.0 ? units : kUnitsMalformed;
 }
 
 Payload answer_of(const http::Parser& parser, const http::Buffer& buffer) {
