Weigh gifts by the plan's price in a sparse fleet, and name customers in fewer bytes

At fault: Impl::offer in control.cpp weighs gifts by the customer's share, so that the plan with the least share (`basico`, which pays least) goes first; PeerMessageWriter::add gives each customer eight bytes, of which the platform uses five. Tests: 22 of the platform's customers fit where 17 did; the dear plan's debt leads a message (fails without the change).

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -243,7 +243,10 @@
     const double off = std::abs(o.free - reckon(c, n.said, n.said_at, now));
     if (o.gift == 0.0 && off < std::min(kTellChange, kTellShare * share)) return o;
     const double wait = 1.0 + seconds(now - n.said_at);    // keeps the turn of those that did not fit
-    o.worth = ((2.0 * std::abs(o.gift) + off) / share + (c.waiting > 0.0 ? 1.0 : 0.0)) * wait;
+    // In a sparse fleet most find no place: what a wrong grant or refusal costs goes first, not the least
+    // share.
+    const double stake = fleet::sparse(s_) ? p.price : 1.0 / share;
+    o.worth = ((2.0 * std::abs(o.gift) + off) * stake + (c.waiting > 0.0 ? 1.0 : 0.0)) * wait;
     return o;
 }
 
--- a/src/peer_message.cpp
+++ b/src/peer_message.cpp
@@ -6,7 +6,7 @@
 namespace valehall {
 namespace {
 
-constexpr std::uint8_t kVersion = 2;
+constexpr std::uint8_t kVersion = 3;
 constexpr std::uint8_t kHasRights = 1, kHasIntroduction = 2;    // an entry's flags
 constexpr std::uint64_t kLargestNumber = 1u << 20;              // of gateways and plans
 constexpr double kLargestSteps = 1e12;
@@ -84,10 +84,7 @@
     const std::int64_t rights = std::max<std::int64_t>(0, to_steps(entry.rights));
     bytes_.push_back(static_cast<std::uint8_t>((rights > 0 ? kHasRights : 0) |
                                                (entry.introduction ? kHasIntroduction : 0)));
-    const auto customer = static_cast<std::uint64_t>(entry.customer);
-    for (int shift = 0; shift < 64; shift += 8) {
-        bytes_.push_back(static_cast<std::uint8_t>(customer >> shift));
-    }
+    put_varint(bytes_, static_cast<std::uint64_t>(entry.customer));    // the platform's are below 2^33
     put_signed(bytes_, to_steps(entry.free));
     put_signed(bytes_, to_steps(entry.passed));
     if (rights > 0) put_varint(bytes_, static_cast<std::uint64_t>(rights));
@@ -118,10 +115,7 @@
     while (!reader.failed() && !reader.done()) {
         const std::uint8_t flags = reader.next();
         if ((flags & ~(kHasRights | kHasIntroduction)) != 0) return std::nullopt;
-        std::uint64_t customer = 0;
-        for (int shift = 0; shift < 64; shift += 8) {
-            customer |= static_cast<std::uint64_t>(reader.next()) << shift;
-        }
+        const std::uint64_t customer = reader.varint();
         const double free = reader.amount(), passed = reader.amount();
         const double rights = (flags & kHasRights) != 0 ? static_cast<double>(reader.varint()) : 0.0;
         if (std::max({std::abs(free), std::abs(passed), rights}) > kLargestSteps) return std::nullopt;
--- a/tests/control_quota_test.cpp
+++ b/tests/control_quota_test.cpp
@@ -329,6 +329,31 @@
     EXPECT_EQ(entry.introduction->width, 60);
 }
 
+// By shares the cheapest plan came first, its share being the least (calm+mass, seed 3, 100 nodes: over_quota
+// 0.0377).
+TEST(Balancing, InAWideSetDebtsOfDearPlansGoFirst) {
+    Settings site = wide_site();
+    site.plans[kPlain].price = 0.5;
+    site.plans[kPlain].burst = 6.0;
+    site.plans[kPlain].rate = 1.0;
+    site.plans[kOpen] = site.plans[kPlain];    // no limit on attempts
+    site.plans[kOpen].price = 1.4;
+    site.plans[kOpen].burst = 30.0;
+    site.plans[kOpen].rate = 9.0;
+    Script s(site);
+    s.hosts(8);
+    s.feed(wide_mail(59, 0.1, 0.0, 1));
+    s.ask(kSafe, 2.0, 7, kPlain, 300ms, 60);
+    s.ask(kSafe, 2.0, 8, kOpen, 300ms, 60);
+    ASSERT_EQ(s.all<Send>().size(), 2U);
+    s.pass(100ms);
+    const auto tells = s.all<TellPeer>();
+    ASSERT_FALSE(tells.empty());
+    const auto message = parse_peer_message(tells.front().bytes);
+    ASSERT_EQ(message->entries.size(), 2U);
+    EXPECT_EQ(message->entries[0].customer, CustomerId{8});
+}
+
 TEST(Balancing, WhatALostMessageMovedTheNextOneMoves) {
     Script s(wide_site());
     s.hosts(8);
--- a/tests/peer_message_test.cpp
+++ b/tests/peer_message_test.cpp
@@ -43,6 +43,19 @@
     EXPECT_EQ(parse_peer_message(bytes)->entries.size(), fitted);
 }
 
+// Each gateway of a hundred has hundreds of customers to tell of and a few messages a second: bytes are what
+// is short.
+TEST(PeerMessage, ThePlatformsCustomersTakeFewBytes) {
+    PeerMessageWriter writer(PeerHeader{1764633599412000ULL, 1000, 25000, 1764633599512000ULL, 25000});
+    std::size_t fitted = 0;
+    while (fitted < 1000 && writer.add({CustomerId{(1ULL << 33) - 1 - fitted}, -1.5, -40.0, 0.0, {}}))
+        ++fitted;
+    EXPECT_GE(fitted, 22U);    // 17 with eight bytes a customer
+    const auto message = parse_peer_message(writer.take());
+    ASSERT_TRUE(message);
+    EXPECT_EQ(message->entries.back().customer, CustomerId{(1ULL << 33) - fitted});
+}
+
 TEST(PeerMessage, SenderDebitsExactlyWhatArrives) {
     for (const double amount : {0.0, 0.1, 0.124, 1.0, 7.9, 12345.67}) {
         PeerMessageWriter writer(PeerHeader{});
