Keep the attempts a server begins with in one place, src/fleet

Need: kStartOut in servers.cpp and kAttemptsOut in src/fleet/cold_start.cpp were the same figure written twice. Change: one constant in src/fleet/cold_start.h, used by both.

--- a/src/fleet/cold_start.cpp
+++ b/src/fleet/cold_start.cpp
@@ -6,8 +6,7 @@
 namespace valehall::fleet {
 namespace {
 
-constexpr int kAttemptsOut = 12;    // at a server, over all gateways, to begin with
-constexpr double kAim = 0.5;        // of what the rule allows
+constexpr double kAim = 0.5;    // of what the rule allows
 // The most of it, where draws keep to the aim beside. At N = 10, 7.5 are expected at most and 22 allowed: a
 // chance of 5 in a million a window. At all of N it would be 3 in 10,000, and a release has hundreds of
 // windows.
@@ -18,7 +17,7 @@
 
 }    // namespace
 
-bool sparse(const Settings& s) { return s.gateways > kAttemptsOut; }
+bool sparse(const Settings& s) { return s.gateways > kStartOut; }
 
 double cold_share(const Settings& s, TimePoint since, TimePoint now) {
     if (since == TimePoint{} || s.cold <= Duration(0) || now - since >= s.cold) return 1.0;
--- a/src/fleet/cold_start.h
+++ b/src/fleet/cold_start.h
@@ -8,6 +8,9 @@
 
 namespace valehall::fleet {
 
+/// Attempts out a server, over all gateways, that the concurrency limits begin with.
+constexpr double kStartOut = 12.0;
+
 /// True where a gateway has less than one attempt out at a server on average, so that what it has out itself
 /// tells nothing of how busy that server is.
 bool sparse(const Settings& s);
--- a/src/servers.cpp
+++ b/src/servers.cpp
@@ -11,7 +11,6 @@
 using namespace std::chrono_literals;
 
 // ---- tuned values ----
-constexpr double kStartOut = 12.0;       // attempts out a server, over all gateways, to begin with
 constexpr double kFailHalfLife = 3.0;    // seconds
 constexpr Duration kAskAgain = 1s;
 constexpr double kColdFleetWork = 1.0;    // core seconds a second a warm host surely does, where none is warm
@@ -52,7 +51,7 @@
     });
     by_draw_.clear();
     for (auto& [id, v] : servers_) by_draw_.push_back(&v);
-    if (limit_ == 0.0) limit_ = kStartOut * static_cast<double>(servers_.size()) / s_.gateways;
+    if (limit_ == 0.0) limit_ = fleet::kStartOut * static_cast<double>(servers_.size()) / s_.gateways;
 }
 
 // A budget may be overdrawn by one request. That hundreds of gateways do not all begin with that, each starts
