Let every gateway have a request in hand in the test of the rule on cold servers

Need: with budgets at twice the rule's multiple the seeded test still passed (checked by changing kMost to 2.0): the requests it drew came too seldom for budgets to be what bound them, so it could not fail where they are too large. Change: each gateway sends whenever its budget and its draw allow it; the bound N + 3 root N + 3 is as it was. An include that nothing used is gone.

--- a/tests/fleet/cold_start_test.cpp
+++ b/tests/fleet/cold_start_test.cpp
@@ -5,7 +5,6 @@
 
 #include <cmath>
 #include <deque>
-#include <map>
 #include <random>
 
 #include "../gateway_script.h"
@@ -55,7 +54,8 @@
 }
 
 // All gateways together, each with a budget and draws of its own, in virtual time. Capacity unknown to them;
-// some of them dead without anybody knowing; traffic uneven. No window holds more than N + 3 root N + 3.
+// some of them dead without anybody knowing; traffic uneven; and every gateway has a request in hand whenever
+// it may send, so that the budgets alone must hold. No window holds more than N + 3 root N + 3.
 TEST(ColdStart, AllGatewaysTogetherStayInsideTheRule) {
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
         std::mt19937_64 random(seed);
@@ -70,7 +70,7 @@
         double sum = 0.0;
         for (int g = 0; g < gateways; ++g)
             sum += traffic.emplace_back(uniform(0, 1) < alive ? uniform(0.2, 3) : 0);
-        // One server's view: each gateway's requests that draw it, at the rate that warm ones get as well.
+        // What a warm server gets of each gateway, up to all that it can serve.
         for (double& t : traffic) {
             t *= load * capacity / sum;
             each.push_back(t * work);
@@ -81,15 +81,10 @@
         for (double at = 0.0; at < 17.0; at += dt) {
             const double share = fleet::cold_share(
                 s, TimePoint(1s), TimePoint(1s) + Duration(static_cast<std::int64_t>(at * 1e6)));
-            // Choice goes by more than draws: a server that looks quick may be sent to up to four times as
-            // often.
-            const double crowd = 1.0 + 3.0 * (at > 5.0 ? 1.0 : at / 5.0);
             for (int g = 0; g < gateways; ++g) {
                 auto& budget = budgets[static_cast<std::size_t>(g)];
                 budget = fleet::cold_budget(s, budget, share, each[static_cast<std::size_t>(g)], true, dt);
-                if (uniform(0, 1) >= crowd * traffic[static_cast<std::size_t>(g)] * dt || budget <= 0.0)
-                    continue;
-                if (!fleet::cold_drawn(s, share, random())) continue;
+                if (budget <= 0.0 || !fleet::cold_drawn(s, share, random())) continue;
                 budget -= work;
                 window.push_back(at);
             }
