--- a/Makefile
+++ b/Makefile
@@ -5,29 +5,32 @@
 
 PACKAGES = cmake g++ make git libpoco-dev libfmt-dev nlohmann-json3-dev tao-pegtl-dev libcli11-dev libhiredis-dev \
   libxxhash-dev libsqlite3-dev libspdlog-dev
+# For the whole system (deploy/system.toml): pilot and lighthouse.
+SYSTEM_PACKAGES = libgflags-dev libboost1.81-dev libboost-log1.81-dev libboost-json1.81-dev \
+  libboost-program-options1.81-dev libcapnp-dev capnproto libleveldb-dev
 # For the tests, the laboratory and its reports, and the format.
-MORE_PACKAGES = libgtest-dev libboost-dev gnuplot-nox clang-format
+MORE_PACKAGES = libgtest-dev libcriterion-dev gnuplot-nox clang-format
 
 .PHONY: deps experiment build test test-plain test-sanitize lint format run serve example clean
 
 # Needs the right to install packages.
 deps:
 	apt-get update -qq
-	apt-get install -y -qq --no-install-recommends $(PACKAGES) $(MORE_PACKAGES) > /dev/null
+	apt-get install -y -qq --no-install-recommends $(PACKAGES) $(SYSTEM_PACKAGES) $(MORE_PACKAGES) > /dev/null
 
 build:
-	cmake -B build -DCMAKE_BUILD_TYPE=Release -DSHALETRAY_EXAMPLE=ON -DSHALETRAY_LAB=ON
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DSHALETRAY_EXAMPLE=ON -DSHALETRAY_LAB=ON -DSHALETRAY_SYSTEM=ON
 	cmake --build build -j$(JOBS)
 
 test: test-sanitize test-plain
 
 test-plain:
-	cmake -B build-test -DCMAKE_BUILD_TYPE=Release -DVALEHALL_TESTS=ON -DSHALETRAY_EXAMPLE=ON -DSHALETRAY_LAB=ON
+	cmake -B build-test -DCMAKE_BUILD_TYPE=Release -DVALEHALL_TESTS=ON -DSHALETRAY_EXAMPLE=ON -DSHALETRAY_LAB=ON -DSHALETRAY_SYSTEM=ON
 	cmake --build build-test -j$(JOBS)
 	ctest --test-dir build-test --output-on-failure -j$(JOBS)
 
 test-sanitize:
-	cmake -B build-sanitize -DCMAKE_BUILD_TYPE=Debug -DVALEHALL_TESTS=ON -DVALEHALL_SANITIZE=ON -DSHALETRAY_LAB=ON
+	cmake -B build-sanitize -DCMAKE_BUILD_TYPE=Debug -DVALEHALL_TESTS=ON -DVALEHALL_SANITIZE=ON -DSHALETRAY_LAB=ON -DSHALETRAY_SYSTEM=ON
 	cmake --build build-sanitize -j$(JOBS)
 	ctest --test-dir build-sanitize --output-on-failure -j$(JOBS)
 
@@ -52,4 +55,4 @@
 	exec build/toy_server
 
 clean:
-	rm -rf build build-test build-sanitize
+	rm -rf build build-test build-sanitize target
--- /dev/null
+++ b/src/chart/chart.h
@@ -0,0 +1,98 @@
+// The configuration that the operator sends: its form, the checks it has to pass, and the tables that
+// requests are looked up in. Pure: text in, values out. Times are Durations (microseconds). A chart that was
+// read is sound: no part of the program checks it again.
+#pragma once
+
+#include <boost/leaf/result.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock.h"
+
+namespace shaletray::chart {
+
+// Why a configuration is not taken: answered to the operator as it stands.
+struct Refusal {
+    std::string field;    // "routes[3].timeout"
+    std::string why;
+};
+
+enum class RouteKind { Idempotent, NonIdempotent };
+
+struct Share {
+    std::string service;
+    std::uint32_t weight = 0;
+    bool operator==(const Share&) const = default;
+};
+struct Route {
+    std::string name, hostname, path_prefix;
+    RouteKind kind = RouteKind::NonIdempotent;
+    Duration timeout{0}, target_latency{0};
+    int priority = 0;         // 0 is the highest
+    std::vector<Share> to;    // one where it names a service; none has weight 0
+    int max_attempts = 1;     // servers that one request may be sent to, at least 1
+    bool is_public = false;
+    bool operator==(const Route&) const = default;
+};
+struct Service {
+    std::string name, health_check;
+    int max_connections = 0;    // of one server, from all callers together; 0: not stated
+    bool operator==(const Service&) const = default;
+};
+struct Tenant {
+    std::string name;
+    std::vector<std::string> api_keys;
+    std::optional<int> priority;             // goes before the route's
+    double rate_per_s = 0.0, burst = 0.0;    // rate 0: no limit
+    bool operator==(const Tenant&) const = default;
+};
+struct Limits {
+    std::size_t max_header_bytes = 16384, max_body_bytes = 64 * 1024 * 1024;
+    Duration header_timeout = std::chrono::seconds(3), idle_timeout = std::chrono::seconds(15);
+    bool operator==(const Limits&) const = default;
+};
+struct Chart {
+    std::uint64_t version = 0;    // 0: none was ever taken
+    std::vector<Route> routes;
+    std::vector<Service> services;
+    std::optional<std::vector<Tenant>> tenants;    // none: no keys are asked for
+    Limits limits;
+    bool operator==(const Chart&) const = default;
+};
+
+// The operator's text. Errors: Refusal.
+boost::leaf::result<Chart> read_chart(std::string_view json);
+// Of the rows, whatever their order: equal charts have equal digests.
+std::uint64_t digest_of(const Chart& chart);
+
+// What leads from one chart to another, as bytes. Names of rows are their keys.
+std::string write_whole(const Chart& chart);
+std::string write_patch(const Chart& from, const Chart& to);
+// Either kind. Errors: Refusal, where it is damaged, or a patch to something else than `held` (whole ones
+// take no notice of it): the whole is then to be asked for.
+boost::leaf::result<Chart> read_update(const Chart& held, std::string_view bytes);
+
+// A chart made ready for look-ups; immutable, shared by the requests under way.
+class Table {
+public:
+    explicit Table(Chart chart);
+    const Chart& chart() const { return chart_; }
+    // The route of that host (without regard to case, without its port) with the longest prefix of the path
+    // (the target up to '?'); none: 404.
+    const Route* route(std::string_view host, std::string_view path) const;
+    const Tenant* tenant(std::string_view key) const;    // none: 401
+    bool asks_for_keys() const { return chart_.tenants.has_value(); }
+    // The service for a request by weights: `draw` is spread evenly over 64 bits.
+    static const std::string& pick(const Route& route, std::uint64_t draw);
+
+private:
+    struct Index;
+    Chart chart_;
+    std::shared_ptr<const Index> index_;
+};
+
+}    // namespace shaletray::chart
--- /dev/null
+++ b/src/convoy/convoy.h
@@ -0,0 +1,81 @@
+// Which processes of the system there are: members learned from the seeds and then from each other, by
+// datagrams. Pure: messages and times in, messages and changes out. Nothing here is a list that is given, and
+// no silence proves an end: a member is Alive, Doubted (unheard, perhaps cut off) or Gone (it said so, a
+// later life at its address was heard, or it was unheard for `forget_after`).
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+
+namespace shaletray::convoy {
+
+enum class Role : std::uint8_t { Pilot, Lighthouse };
+enum class State : std::uint8_t { Alive, Doubted, Gone };
+
+struct Facts {              // what a member says of itself
+    std::string address;    // internal "ip:port", datagrams and sessions alike
+    Role role = Role::Pilot;
+    std::string name, zone, region;
+    std::string control;         // lighthouses: the address that serves control_plane
+    bool quorum = false;         // lighthouses: its disk may vote
+    std::uint64_t disk = 0;      // its number in the lamp's crew
+    std::uint64_t life = 0;      // larger for a later life at the same address
+    std::uint32_t counts = 0;    // pilots: how many pilots it divides quotas by; 0: grants nothing yet
+    bool operator==(const Facts&) const = default;
+};
+struct Member {
+    Facts facts;
+    State state = State::Alive;
+    TimePoint heard{};      // when anything proved that this life ran
+    TimePoint changed{};    // its state
+};
+
+struct Settings {
+    Facts me;                                           // its life is raised where an earlier one is heard of
+    std::vector<std::string> seeds;                     // internal addresses of lighthouses, to begin with
+    Duration every = std::chrono::milliseconds(500);    // between two rounds of probes
+    Duration doubt_after = std::chrono::milliseconds(2000);
+    Duration forget_after = std::chrono::seconds(20);
+    std::size_t longest = 1200;    // bytes of a datagram
+    std::uint64_t seed = 0;
+};
+struct Actions {
+    struct Send {
+        std::string to, bytes;
+    };
+    std::vector<Send> sends;
+    std::vector<std::string> changed;    // addresses of members whose facts or state changed
+};
+
+class Convoy {
+public:
+    Convoy(Settings settings, TimePoint now);
+    ~Convoy();
+    void heard(const std::string& from, const std::string& bytes, TimePoint now, Actions& out);
+    // Something else proved that the member ran just now (a session's message).
+    void seen(const std::string& address, std::uint64_t life, TimePoint now);
+    void tick(TimePoint now, Actions& out);
+    TimePoint next() const;
+    void counts(std::uint32_t pilots);    // of the facts of this process
+    void disk(std::uint64_t number);
+    void seeds(std::vector<std::string> seeds);    // as the settings file now has them
+    void leave(TimePoint now, Actions& out);       // says goodbye to all; nothing is sent after it
+
+    const std::map<std::string, Member>& members() const;    // by address, without this one
+    const Facts& me() const;
+    // Of the other pilots that are not Gone: the part heard within `within`. 1 where there are none.
+    double heard_part(TimePoint now, Duration within) const;
+    bool joined() const;    // a lighthouse has answered with all that it knows, or none is to be asked
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+}    // namespace shaletray::convoy
--- /dev/null
+++ b/src/lamp/lamp.h
@@ -0,0 +1,111 @@
+// The agreed register of the lighthouses: a chain of decrees, each chosen by a majority of the crew that the
+// one before it names. A decree holds the whole configuration and the crew for the next one. Pure: messages
+// and times in, messages, things to store and answers out; no clock, no sockets, no disk.
+//
+// Decree n+1 is a single round of Paxos among the crew of decree n; nothing starts on n+1 before n is known.
+// A member of the crew is a disk: an emptied one has another number and has no vote until it was voted in.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+
+namespace shaletray::lamp {
+
+struct Member {
+    std::string address;       // "10.1.0.24:7100", the lighthouse's internal one
+    std::uint64_t disk = 0;    // 0: a founder's; else drawn when an empty folder was first opened
+    auto operator<=>(const Member&) const = default;
+};
+struct Decree {
+    std::uint64_t number = 0;    // 0: the founding, nothing decided yet
+    std::vector<Member> crew;    // who decides on the next one
+    std::uint64_t version = 0;
+    std::string text;    // the configuration as the operator sent it
+    bool operator==(const Decree&) const = default;
+};
+struct Ballot {
+    std::uint64_t round = 0;
+    std::string proposer;
+    auto operator<=>(const Ballot&) const = default;
+};
+// What must be on the disk before anything that follows from it is said.
+struct Saved {
+    std::uint64_t disk = 0;
+    Decree decree;                    // the newest known
+    Ballot promised;                  // for decree.number + 1
+    Ballot accepted;                  // likewise; round 0: none
+    std::optional<Decree> pending;    // what was accepted
+};
+
+struct Message;    // see lamp_message.h
+
+struct Settings {
+    Member me;
+    bool votes = true;                    // false without a disk: never in a crew
+    std::vector<std::string> founders;    // internal addresses; empty where this is no first start
+    std::uint64_t seed = 0;
+    Duration round_time = std::chrono::milliseconds(250);    // after which a round is begun anew
+};
+
+using Ticket = std::uint64_t;
+enum class Answer { Settled, Superseded, Unsettled };    // Unsettled: no majority in time, may or may not be
+
+struct Actions {
+    struct Send {
+        std::string to;       // a lighthouse's internal address
+        std::string bytes;    // an encoded Message
+    };
+    // To be written and synced in this order; Lamp::stored(token) then releases what waits for it.
+    struct Store {
+        std::uint64_t token = 0;
+        Saved saved;
+    };
+    struct Done {
+        Ticket ticket = 0;
+        Answer answer = Answer::Unsettled;
+    };
+    std::vector<Send> sends;
+    std::vector<Store> stores;
+    std::vector<Done> done;
+    bool changed = false;    // decree() has
+};
+
+class Lamp {
+public:
+    Lamp(Settings settings, Saved saved, TimePoint now);
+    ~Lamp();
+    Lamp(Lamp&&) noexcept;
+
+    // Settled once a decree of this version or a later one is chosen and kept by a majority; Superseded where
+    // that is another version's (acknowledged likewise). Answered by `until` at the latest.
+    void propose(Ticket ticket, std::uint64_t version, std::string text, TimePoint until, TimePoint now,
+                 Actions& out);
+    // Settled once decree() is known to be the newest that was chosen when this was asked.
+    void confirm(Ticket ticket, TimePoint until, TimePoint now, Actions& out);
+    // Proposes that `in` votes, in the place of `in_place_of` where given. Refused while one is under way.
+    void change_crew(const Member& in, const std::optional<Member>& in_place_of, TimePoint now, Actions& out);
+    void heard(const std::string& from, const std::string& bytes, TimePoint now, Actions& out);
+    void stored(std::uint64_t token, TimePoint now, Actions& out);
+    void tick(TimePoint now, Actions& out);
+    std::optional<TimePoint> next() const;    // when tick is due
+    // To whom new decrees are told, beside the crew: all lighthouses known.
+    void others(std::vector<std::string> addresses);
+
+    const Decree& decree() const;    // the newest chosen that is known here
+    // When a majority last bore out that decree() was the newest; none: not yet in this life.
+    std::optional<TimePoint> confirmed() const;
+    bool in_crew() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+}    // namespace shaletray::lamp
--- /dev/null
+++ b/src/lamp/store.h
@@ -0,0 +1,35 @@
+// The lamp's state on disk, by LevelDB, written by a thread of its own so that a slow disk holds up no loop.
+#pragma once
+
+#include <boost/leaf/result.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "lamp/lamp.h"
+
+namespace shaletray::lamp {
+
+struct DiskTrouble {
+    std::string why;
+};
+
+class Store {
+public:
+    // Opens or makes the folder. `founder` says that an empty folder takes disk number 0, else one is drawn.
+    // Errors: DiskTrouble.
+    static boost::leaf::result<std::unique_ptr<Store>> open(const std::string& folder, bool founder);
+    // Nothing is kept beyond this process: for machines without a disk.
+    static std::unique_ptr<Store> in_memory(bool founder);
+    virtual ~Store() = default;
+    virtual const Saved& loaded() const = 0;
+    // Written and synced in order by the store's own thread. What was overtaken before its turn may be left
+    // out; its token counts as stored with the later one. A write that fails is tried again until it holds.
+    virtual void put(Actions::Store what) = 0;
+    // Tokens that are on the disk by now, in order. Called by the loop; `wake` is called from the store's
+    // thread whenever there are new ones.
+    virtual std::vector<std::uint64_t> done() = 0;
+    virtual void on_done(std::function<void()> wake) = 0;
+};
+
+}    // namespace shaletray::lamp
--- /dev/null
+++ b/src/station/settings_file.h
@@ -0,0 +1,48 @@
+// The settings file of a process (SHALETRAY_BOOT): lines a.b=value; unknown fields are left alone.
+#pragma once
+
+#include <boost/leaf/result.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock.h"
+
+namespace shaletray::station {
+
+struct Bounds {
+    Duration seed_lag, address_reuse, contact, ack, catch_up, drain, grace, loss_slack, config_apply,
+        revert_slack, max_stretch, revoke, retry_window, quota_window, recovery;
+    bool revocation_global = false;
+    double retry_budget_ratio = 0.2, retry_slack = 0.0, quota_overshoot = 0.1, quota_slack = 0.0;
+};
+struct NodeSettings {
+    std::string node_name, role, ip, zone, region;
+    std::map<std::string, std::string> zones;       // zone: region
+    std::string frontend, readiness, control;       // bind addresses; empty: not served
+    std::uint16_t first_port = 0, last_port = 0;    // internal
+    std::vector<std::string> seeds;                 // control addresses
+    bool bootstrap = false, quorum_member = false;
+    double cpu_share = 1.0, memory_mb = 256.0;
+    std::size_t max_open_files = 1024, disk_mb = 0;
+    std::string data_directory;    // empty: no disk
+    Duration heartbeat = std::chrono::milliseconds(1500);
+    int lost_machines = 0, lost_zones = 0, lost_regions = 0;    // fault_tolerance
+    Bounds bounds;
+};
+struct BadSettings {
+    std::string what;    // one line: the field and what is wrong with it
+};
+// "1500ms", "2.5s". Errors: BadSettings.
+boost::leaf::result<Duration> read_time(std::string_view text);
+// Errors: BadSettings.
+boost::leaf::result<NodeSettings> read_settings(std::string_view text);
+
+// Internal addresses: a lighthouse's is its machine's first internal port, a pilot's the second.
+std::string lighthouse_address(const std::string& ip, const NodeSettings& settings);
+std::string pilot_address(const std::string& ip, const NodeSettings& settings);
+std::string ip_of(const std::string& address);
+
+}    // namespace shaletray::station
