Add the messages between pilots and lighthouses: Have and News

Both state what holds, so that any of them may be lost or come twice: News names the sequence its changes start after, and who lacks some before that takes them without calling himself up to date.

--- /dev/null
+++ b/src/lighthouse/watch.h
@@ -0,0 +1,47 @@
+// What pilots and lighthouses tell each other (signal::Kind::Watch): pilots say what they have, lighthouses
+// what is new to them. Both sides only ever state what holds, so any message may be lost or come twice.
+#pragma once
+
+#include <boost/leaf/result.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "station/pack.h"
+
+namespace shaletray::watch {
+
+// A pilot to each lighthouse it knows: every 500 ms, and at once where it lacks something.
+struct Have {
+    std::uint64_t life = 0;                   // the pilot's
+    std::uint64_t version = 0, digest = 0;    // of the chart in force there; 0: none yet
+    std::uint64_t known_life = 0;             // of the lighthouse this goes to, as last heard; 0: none yet
+    std::uint64_t known_sequence = 0;         // all changes of that life up to this one are known
+    std::uint32_t counts = 0;                 // how many pilots it divides quotas by
+    bool operator==(const Have&) const = default;
+};
+// A lighthouse to a pilot: an answer to each Have, and unasked whenever something changed.
+struct News {
+    std::uint64_t life = 0;    // the lighthouse's
+    // A majority bore out within the last 1.5 s that `version` was the newest chosen.
+    bool confirmed = false;
+    std::uint64_t version = 0, digest = 0;    // of the newest chart known there; 0: none was ever taken
+    // For chart::read_update, leads to `version`; empty: none comes with this. A patch to something else than
+    // what is held here is refused there: the next Have then tells what is held, and the answer fits it.
+    std::string update;
+    // `servers`, for muster::Roster::take, holds the changes after `since` up to `sequence`, or is empty. Who
+    // knows of that life less than `since` takes the changes, and goes on telling what he knew before.
+    std::uint64_t since = 0, sequence = 0;
+    std::string servers;
+    bool operator==(const News&) const = default;
+};
+
+std::string encode(const Have& have);
+std::string encode(const News& news);
+// Errors: station::Spoilt.
+boost::leaf::result<std::variant<Have, News>> decode(std::string_view bytes);
+boost::leaf::result<Have> decode_have(std::string_view bytes);
+boost::leaf::result<News> decode_news(std::string_view bytes);
+
+}    // namespace shaletray::watch
