Read, compare, carry and look up the operator's configurations (src/chart)

Rows are kept by their names' order: differences and patches are merges, and a name there twice shows at its neighbour. Updates are packed Cap'n Proto; a digest over the first form's fields tells damage, and a patch to another chart, apart from the real thing.

--- /dev/null
+++ b/src/chart/update.cpp
@@ -0,0 +1,280 @@
+// Charts on the wire. The one place where Cap'n Proto's exceptions are met: what is damaged ends there.
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <utility>
+
+#include "chart/chart.capnp.h"
+#include "chart/chart.h"
+#include "chart/rows.h"
+
+namespace shaletray::chart {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+// Of a message once unpacked; a chart of 64 MiB of text stays well below it.
+constexpr std::uint64_t kMostWords = 16 * 1024 * 1024;
+
+class IntoText : public kj::OutputStream {
+public:
+    explicit IntoText(std::string& text) : text_(text) {}
+    void write(const void* bytes, std::size_t size) override {
+        text_.append(static_cast<const char*>(bytes), size);
+    }
+
+private:
+    std::string& text_;
+};
+
+::capnp::Text::Reader text(const std::string& text) { return {text.c_str(), text.size()}; }
+std::string text(::capnp::Text::Reader text) { return {text.begin(), text.size()}; }
+
+// ---- rows ----
+
+void write(const Route& from, form::Route::Builder to) {
+    to.setName(text(from.name));
+    to.setHostname(text(from.hostname));
+    to.setPathPrefix(text(from.path_prefix));
+    to.setIdempotent(from.kind == RouteKind::Idempotent);
+    to.setIsPublic(from.is_public);
+    to.setPriority(from.priority);
+    to.setTimeout(from.timeout.count());
+    to.setTargetLatency(from.target_latency.count());
+    to.setMaxAttempts(from.max_attempts);
+    auto shares = to.initTo(static_cast<unsigned>(from.to.size()));
+    for (unsigned i = 0; i < shares.size(); ++i) {
+        shares[i].setService(text(from.to[i].service));
+        shares[i].setWeight(from.to[i].weight);
+    }
+}
+Route read(form::Route::Reader from) {
+    Route route;
+    route.name = text(from.getName());
+    route.hostname = text(from.getHostname());
+    route.path_prefix = text(from.getPathPrefix());
+    route.kind = from.getIdempotent() ? RouteKind::Idempotent : RouteKind::NonIdempotent;
+    route.is_public = from.getIsPublic();
+    route.priority = from.getPriority();
+    route.timeout = Duration(from.getTimeout());
+    route.target_latency = Duration(from.getTargetLatency());
+    route.max_attempts = from.getMaxAttempts();
+    for (const auto share : from.getTo()) route.to.push_back({text(share.getService()), share.getWeight()});
+    route.to.shrink_to_fit();
+    return route;
+}
+
+void write(const Service& from, form::Service::Builder to) {
+    to.setName(text(from.name));
+    to.setHealthCheck(text(from.health_check));
+    to.setMaxConnections(from.max_connections);
+}
+Service read(form::Service::Reader from) {
+    return {text(from.getName()), text(from.getHealthCheck()), from.getMaxConnections()};
+}
+
+void write(const Tenant& from, form::Tenant::Builder to) {
+    to.setName(text(from.name));
+    auto keys = to.initApiKeys(static_cast<unsigned>(from.api_keys.size()));
+    unsigned i = 0;
+    for (const std::string_view key : from.api_keys) {
+        auto room = keys.init(i++, static_cast<unsigned>(key.size()));
+        std::copy(key.begin(), key.end(), room.begin());
+    }
+    to.setHasPriority(from.priority.has_value());
+    to.setPriority(from.priority.value_or(0));
+    to.setRatePerS(from.rate_per_s);
+    to.setBurst(from.burst);
+}
+Tenant read(form::Tenant::Reader from) {
+    Tenant tenant;
+    tenant.name = text(from.getName());
+    for (const auto key : from.getApiKeys()) tenant.api_keys.push_back({key.begin(), key.size()});
+    tenant.api_keys.shrink_to_fit();
+    if (from.getHasPriority()) tenant.priority = from.getPriority();
+    tenant.rate_per_s = from.getRatePerS();
+    tenant.burst = from.getBurst();
+    return tenant;
+}
+
+void write(const Limits& from, form::Limits::Builder to) {
+    to.setMaxHeaderBytes(from.max_header_bytes);
+    to.setMaxBodyBytes(from.max_body_bytes);
+    to.setHeaderTimeout(from.header_timeout.count());
+    to.setIdleTimeout(from.idle_timeout.count());
+}
+Limits read(form::Limits::Reader from) {
+    return {from.getMaxHeaderBytes(), from.getMaxBodyBytes(), Duration(from.getHeaderTimeout()),
+            Duration(from.getIdleTimeout())};
+}
+
+// ---- tables ----
+
+template <class Row>
+using Rows = std::vector<const Row*>;
+
+template <class Row>
+Rows<Row> in_order(const std::vector<Row>& rows) {
+    Rows<Row> order;
+    order.reserve(rows.size());
+    for (const Row& row : rows) order.push_back(&row);
+    const auto before = [](const Row* a, const Row* b) { return by_name(*a, *b); };
+    if (!std::is_sorted(order.begin(), order.end(), before)) std::sort(order.begin(), order.end(), before);
+    return order;
+}
+
+template <class Row>
+struct Difference {
+    Rows<Row> set, gone;
+};
+template <class Row>
+Difference<Row> difference(const std::vector<Row>& from, const std::vector<Row>& to) {
+    Difference<Row> difference;
+    const Rows<Row> before = in_order(from), after = in_order(to);
+    auto old = before.begin();
+    for (const Row* const row : after) {
+        for (; old != before.end() && (*old)->name < row->name; ++old) difference.gone.push_back(*old);
+        const bool had = old != before.end() && (*old)->name == row->name;
+        if (!had || **old != *row) difference.set.push_back(row);
+        if (had) ++old;
+    }
+    difference.gone.insert(difference.gone.end(), old, before.end());
+    return difference;
+}
+
+template <class Row, class List>
+void write_rows(const Rows<Row>& rows, List list) {
+    for (unsigned i = 0; i < list.size(); ++i) write(*rows[i], list[i]);
+}
+template <class Row>
+void write_names(const Rows<Row>& rows, ::capnp::List<::capnp::Text>::Builder list) {
+    for (unsigned i = 0; i < list.size(); ++i) list.set(i, text(rows[i]->name));
+}
+template <class Row>
+unsigned count(const Rows<Row>& rows) {
+    return static_cast<unsigned>(rows.size());
+}
+
+struct Damaged {
+    const char* why;
+};
+
+// The rows that a table is left with. Throws Damaged.
+template <class Row, class List>
+std::vector<Row> merged(const std::vector<Row>& held, List set, ::capnp::List<::capnp::Text>::Reader gone,
+                        std::size_t most) {
+    // An empty list may claim any length.
+    if (set.size() > most || gone.size() > most) throw Damaged{"claims more rows than it can hold"};
+    std::vector<Row> rows;
+    rows.reserve(held.size() + set.size());
+    const Rows<Row> before = in_order(held);
+    auto old = before.begin();
+    unsigned out = 0;
+    const auto keep_until = [&](const std::string* name) {
+        for (; old != before.end() && (name == nullptr || (*old)->name < *name); ++old) {
+            if (out < gone.size() && text(gone[out]) == (*old)->name) ++out;
+            else rows.push_back(**old);
+        }
+    };
+    for (const auto row : set) {
+        Row next = read(row);
+        if (!held.empty()) {
+            keep_until(&next.name);
+            if (old != before.end() && (*old)->name == next.name) ++old;
+        }
+        rows.push_back(std::move(next));
+    }
+    keep_until(nullptr);
+    if (out != gone.size()) throw Damaged{"takes away what is not there"};
+    return rows;
+}
+
+leaf::result<Chart> applied(const Chart& held, form::Update::Reader update, std::size_t size) {
+    static const Chart nothing;
+    const bool patch = update.getPatch();
+    if (patch && update.getBase() != digest_of(held))
+        return leaf::new_error(Refusal{"base", "is another chart than the one held"});
+    const Chart& base = patch ? held : nothing;
+    static const std::vector<Tenant> no_tenants;
+    Chart chart;
+    chart.version = update.getVersion();
+    chart.limits = read(update.getLimits());
+    chart.routes = merged(base.routes, update.getRoutes(), update.getRoutesGone(), size);
+    chart.services = merged(base.services, update.getServices(), update.getServicesGone(), size);
+    if (update.getAsksForKeys())
+        chart.tenants = merged(base.tenants ? *base.tenants : no_tenants, update.getTenants(),
+                               update.getTenantsGone(), size);
+    if (update.getDigest() != digest_of(chart))
+        return leaf::new_error(Refusal{"digest", "is not that of what the update leads to"});
+    return chart;
+}
+
+std::string packed(::capnp::MessageBuilder& message) {
+    std::string bytes;
+    IntoText out(bytes);
+    ::capnp::writePackedMessage(out, message);
+    return bytes;
+}
+
+}    // namespace
+
+std::string write_whole(const Chart& chart) {
+    ::capnp::MallocMessageBuilder message;
+    form::Update::Builder update = message.initRoot<form::Update>();
+    update.setDigest(digest_of(chart));
+    update.setVersion(chart.version);
+    write(chart.limits, update.initLimits());
+    const auto rows = [](const auto& table, auto list) {
+        for (unsigned i = 0; i < list.size(); ++i) write(table[i], list[i]);
+    };
+    rows(chart.routes, update.initRoutes(static_cast<unsigned>(chart.routes.size())));
+    rows(chart.services, update.initServices(static_cast<unsigned>(chart.services.size())));
+    update.setAsksForKeys(chart.tenants.has_value());
+    if (chart.tenants) rows(*chart.tenants, update.initTenants(static_cast<unsigned>(chart.tenants->size())));
+    return packed(message);
+}
+
+std::string write_patch(const Chart& from, const Chart& to) {
+    ::capnp::MallocMessageBuilder message;
+    form::Update::Builder update = message.initRoot<form::Update>();
+    update.setPatch(true);
+    update.setBase(digest_of(from));
+    update.setDigest(digest_of(to));
+    update.setVersion(to.version);
+    write(to.limits, update.initLimits());
+    const auto routes = difference(from.routes, to.routes);
+    write_rows(routes.set, update.initRoutes(count(routes.set)));
+    write_names(routes.gone, update.initRoutesGone(count(routes.gone)));
+    const auto services = difference(from.services, to.services);
+    write_rows(services.set, update.initServices(count(services.set)));
+    write_names(services.gone, update.initServicesGone(count(services.gone)));
+    update.setAsksForKeys(to.tenants.has_value());
+    if (to.tenants) {
+        static const std::vector<Tenant> none;
+        const auto tenants = difference(from.tenants ? *from.tenants : none, *to.tenants);
+        write_rows(tenants.set, update.initTenants(count(tenants.set)));
+        write_names(tenants.gone, update.initTenantsGone(count(tenants.gone)));
+    }
+    return packed(message);
+}
+
+leaf::result<Chart> read_update(const Chart& held, std::string_view bytes) {
+    try {
+        kj::ArrayInputStream in(
+            kj::arrayPtr(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size()));
+        ::capnp::ReaderOptions options;
+        options.traversalLimitInWords = kMostWords;
+        ::capnp::PackedMessageReader message(in, options);
+        return applied(held, message.getRoot<form::Update>(), bytes.size());
+    } catch (const kj::Exception& damage) {
+        return leaf::new_error(
+            Refusal{"update", std::string("is damaged: ") + damage.getDescription().cStr()});
+    } catch (const Damaged& damage) {
+        return leaf::new_error(Refusal{"update", damage.why});
+    }
+}
+
+}    // namespace shaletray::chart
