--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -36,6 +36,8 @@
     // comes.
     bool send(std::string bytes);
     bool sent_all() const { return sent_ == unsent_.size(); }
+    std::size_t unsent() const { return unsent_.size() - sent_; }    // bytes
+    Poco::Net::StreamSocket& socket() { return socket_; }            // for its options
     http::Buffer& input() { return input_; }
     const http::Buffer& input() const { return input_; }
     // Reads what is there now, without waiting to be told.
--- a/src/signal/mailer.h
+++ b/src/signal/mailer.h
@@ -36,9 +36,14 @@
     Mailer(Reactor& reactor, const std::string& address, std::uint64_t life, Limits limits,
            std::function<void(Letter&&)> heard);
     ~Mailer();
+    // `to` is numeric. What cannot be sent (longer than 60,000 bytes, or the system refuses) is dropped,
+    // counted. Letters to oneself are heard in a later turn.
     void datagram(const std::string& to, Kind kind, std::string_view bytes);
+    // While the peer cannot be reached, what waited for 3 s is dropped, counted.
     void session(const std::string& to, Kind kind, std::string_view bytes);
     void life(std::uint64_t life);
+    // Our own, with the port that the system chose where 0 was asked for.
+    const std::string& address() const;
     struct Counts {
         std::uint64_t sent = 0, sent_bytes = 0, heard = 0, heard_bytes = 0, dropped = 0, spoilt = 0;
     };
