Keep the muster: which servers there are, as their calls and the lighthouses tell

A server's words are ordered by its call's number, and a farewell is final, so words may come in any order, late or twice. Calls that repeat what is known are not told on. That servers are Lost since their keeper is silent, or Gone since another has their address, is concluded by each reader for itself and undone by a later call: a lighthouse that is cut off, or words that were held up by a cut, must not end a server for all.

--- a/src/lighthouse/watch.h
+++ b/src/lighthouse/watch.h
@@ -30,8 +30,9 @@
     // For chart::read_update, leads to `version`; empty: none comes with this. A patch to something else than
     // what is held here is refused there: the next Have then tells what is held, and the answer fits it.
     std::string update;
-    // `servers`, for muster::Roster::take, holds the changes after `since` up to `sequence`, or is empty. Who
-    // knows of that life less than `since` takes the changes, and goes on telling what he knew before.
+    // `servers`, always for muster::Roster::take, holds the changes after `since` up to `sequence`, and with
+    // none still tells who runs. Who knows of that life less than `since` takes it likewise, and goes on
+    // telling what he knew before.
     std::uint64_t since = 0, sequence = 0;
     std::string servers;
     bool operator==(const News&) const = default;
--- a/src/muster/muster.h
+++ b/src/muster/muster.h
@@ -15,60 +15,82 @@
 
 namespace shaletray::muster {
 
-enum class State : std::uint8_t { InService, Draining, Gone, Lost };    // Lost: its beats stopped coming
+// Lost: its beats stopped coming.
+enum class State : std::uint8_t { InService, Draining, Gone, Lost };
 
 struct Server {
     std::string id, service, address, zone, revision;
     int capacity = 1;
     State state = State::InService;
-    std::uint64_t calls = 0;    // its call_count: the later word wins; Gone is final
+    std::uint64_t calls = 0;    // its call_count: the later word wins; a farewell is final
     Duration ramp_left{0};      // at `at`
-    TimePoint at{};             // when this was last told here, by this process's clock
+    TimePoint at{};             // when it last called its keeper, as far as is known here
 };
 
 struct Beat {    // as decoded from a call
     Server server;
 };
-// Errors: std::string with field and reason.
+// The body of a heartbeat; fields that are not known are passed over. Errors: std::string with field and
+// reason.
 boost::leaf::result<Beat> read_beat(std::string_view id, std::string_view json);
 
+class View;
+
 class Muster {
 public:
     struct Settings {
+        std::string me;            // this lighthouse's internal address
+        std::uint64_t life = 0;    // and its life
         Duration heartbeat = std::chrono::milliseconds(1500);
         int missed = 4;    // beats after which its keeper calls a server Lost
     };
     explicit Muster(Settings settings);
-    // A server called here. False where its count is not above the one known: nothing changes.
+    ~Muster();
+    Muster(Muster&&) noexcept;
+    Muster& operator=(Muster&&) noexcept;
+    // A server called here, which is its keeper from now on. False where its count is not above the one
+    // known, or it has said farewell: nothing changes.
     bool beat(const Beat& beat, TimePoint now);
     bool deregister(std::string_view id, TimePoint now);
-    // Entries of another lighthouse. `from`: its address, the keeper of those servers from now on.
+    // Entries that another lighthouse keeps. Bytes that are not such are counted, and nothing else.
     void merge(const std::string& from, std::string_view bytes, TimePoint now);
-    void tick(TimePoint now);    // looks for beats that stopped
+    void tick(TimePoint now);    // looks for beats that stopped; a few times a second
     // A server with another id at the address of an older one proves that the older one is Gone.
 
-    // All changes are numbered in this process's life, so that a reader asks for what is new to it.
+    // Changes are numbered in this process's life, so that a reader asks for what is new to it. Calls that
+    // merely repeat what is known are none.
     std::uint64_t sequence() const;
-    // Entries changed after `since` (0: all that are known), as bytes for merge and for Roster::take.
+    // Entries changed after `since` (0: all that are known), as bytes for merge and for Roster::take; with
+    // none, a few bytes that still prove that those who keep servers run.
     // `own_only`: just those that this muster keeps (heard itself), for other lighthouses.
     std::string changes(std::uint64_t since, bool own_only, TimePoint now) const;
+    // Up to which of its changes another lighthouse's are known here; 0 for another life than the known one.
+    // What is told again from there on makes up for all that was lost.
+    std::uint64_t known(const std::string& lighthouse, std::uint64_t life) const;
     const std::map<std::string, Server>& servers() const;    // by id
-    // Entries that are Gone or Lost are dropped once nobody can need them.
+    // Entries that are Gone or Lost are dropped after 60 s.
+    std::uint64_t spoilt() const { return spoilt_; }
 
 private:
-    class Impl;
-    std::shared_ptr<Impl> impl_;
+    std::unique_ptr<View> view_;
+    std::uint64_t spoilt_ = 0;
 };
 
 // A pilot's view: the union of what the lighthouses tell.
 class Roster {
 public:
-    // Ids of servers whose entry changed. Errors: std::string.
+    Roster();
+    ~Roster();
+    Roster(Roster&&) noexcept;
+    Roster& operator=(Roster&&) noexcept;
+    // Ids of servers whose entry changed, also those that were forgotten now. To be called with all that
+    // lighthouses tell, changes or none: who keeps on being told of is not Lost. Errors: std::string; nothing
+    // was taken then.
     boost::leaf::result<std::vector<std::string>> take(std::string_view bytes, TimePoint now);
-    const std::map<std::string, Server>& servers() const { return servers_; }
+    const std::map<std::string, Server>& servers() const;
 
 private:
-    std::map<std::string, Server> servers_;
+    std::unique_ptr<View> view_;
 };
 
 }    // namespace shaletray::muster
