--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -93,7 +93,8 @@
     if (requests_.size() >= most_open_ || handed_over_) {
         ++counters_.turned_away;
         count(arrival.class_index, Verdict::Refused);
-        front.refused(most_advice_);    // all of what may be asked: nothing says when there is room again
+        // All of what may be asked: nothing says when there is room again.
+        front.refused(most_advice_, Refusal::Room);
         return RequestId{};
     }
     RequestId id{++last_request_};
@@ -147,7 +148,7 @@
     for (std::size_t i = 0; (request = find(id)) != nullptr && i < request->attempts.size(); ++i) {
         if (!request->attempts[i].out) continue;
         const AttemptId attempt{id, static_cast<int>(i)};
-        backend_->cancel(attempt);
+        call_off(attempt, request->attempts[i]);
         ++counters_.cancelled;
         end(attempt, request->attempts[i], Outcome::Cancelled, {}, true);
     }
@@ -187,12 +188,17 @@
     Request& request = *find(id.request);
     const double settled = outcome == Outcome::Ok ? settle(request, settled_units) : 0.0;
     attempt->flows = answer.flow != nullptr && attempt->heard != TimePoint{};
+    if (manners_.keeps_failures && outcome == Outcome::Error && says_failure(answer))
+        request.failure = std::make_unique<Payload>(std::move(answer));
     // A good answer finishes the request by itself, and so does the break of a stream.
-    Front* const front = outcome == Outcome::Ok || attempt->began ? close(request) : nullptr;
-    if (front != nullptr) {
-        count(request, outcome == Outcome::Ok ? Verdict::Served : Verdict::Failed);
-        if (outcome == Outcome::Ok) front->served(std::move(answer));
-        else front->failed();
+    if (outcome == Outcome::Ok) {
+        if (Front* const front = close(request)) {
+            count(request.arrival.class_index, Verdict::Served);
+            front->served(std::move(answer));
+        }
+    } else if (attempt->began) {
+        Ending broken = ending(id.request, request, Verdict::Failed);
+        if (Front* const front = close(request)) tell(*front, request.arrival.class_index, std::move(broken));
     }
     end(id, *attempt, outcome, std::move(report), request.front == nullptr, settled);
     forget_if_done(id.request);
@@ -299,7 +305,7 @@
     const AttemptId id{action.request, action.attempt};
     Attempt* attempt = find_out(id);
     if (attempt == nullptr || attempt->began) return;
-    backend_->cancel(id);
+    call_off(id, *attempt);
     ++counters_.cancelled;
     end(id, *attempt, Outcome::Cancelled, {}, find(id.request)->front == nullptr);
     forget_if_done(id.request);
@@ -308,20 +314,16 @@
 void Engine::perform(const valehall::Refuse& action) {
     Request* request = find(action.request);
     if (request == nullptr) return;
-    if (Front* front = close(*request)) {
-        count(*request, Verdict::Refused);
-        front->refused(action.retry_after);
-    }
+    Ending end = ending(action.request, *request, Verdict::Refused, action.retry_after);
+    if (Front* front = close(*request)) tell(*front, request->arrival.class_index, std::move(end));
     forget_if_done(action.request);
 }
 
 void Engine::perform(const valehall::Fail& action) {
     Request* request = find(action.request);
     if (request == nullptr) return;
-    if (Front* front = close(*request)) {
-        count(*request, Verdict::Failed);
-        front->failed();
-    }
+    Ending end = ending(action.request, *request, Verdict::Failed);
+    if (Front* front = close(*request)) tell(*front, request->arrival.class_index, std::move(end));
     forget_if_done(action.request);
 }
 
@@ -362,6 +364,35 @@
     return std::exchange(request.front, nullptr);
 }
 
+Engine::Ending Engine::ending(RequestId id, Request& request, Verdict wanted, Duration wait,
+                              bool dropped) const {
+    Ending end{wanted, wait, Failure::Broken, {}};
+    if (manners_.refusal_promises)
+        end.verdict = may_have_run(id, request, dropped) ? Verdict::Failed : Verdict::Refused;
+    if (clock_.now() >= deadline(request)) end.why = Failure::Late;
+    if (request.failure) end.answer = std::move(*std::exchange(request.failure, nullptr));
+    return end;
+}
+
+void Engine::tell(Front& front, int class_index, Ending&& end) {
+    count(class_index, end.verdict);
+    if (end.verdict == Verdict::Refused) front.refused(end.wait, Refusal::Room);
+    else front.failed(end.why, std::move(end.answer));
+}
+
+bool Engine::may_have_run(RequestId id, const Request& request, bool dropped) const {
+    for (std::size_t i = 0; i < request.attempts.size(); ++i) {
+        const Attempt& attempt = request.attempts[i];
+        if (attempt.out ? !dropped || backend_->began({id, static_cast<int>(i)}) : attempt.ran) return true;
+    }
+    return false;
+}
+
+void Engine::call_off(AttemptId id, Attempt& attempt) {
+    attempt.ran = manners_.refusal_promises && backend_->began(id);
+    backend_->cancel(id);
+}
+
 void Engine::count(int class_index, Verdict verdict) {
     const auto at = static_cast<std::size_t>(class_index);
     if (at >= by_class_.size()) return;    // of no class: the module would not have it
@@ -376,6 +407,8 @@
                  double settled_units) {
     timers_.cancel(attempt.timeout);
     attempt.out = false;
+    attempt.ran =
+        attempt.ran || outcome == Outcome::Ok || outcome == Outcome::Error || outcome == Outcome::Reset;
     --find(id.request)->out;
     ++counters_.outcomes[static_cast<std::size_t>(outcome)];
     // How long the way of a long answer takes says nothing of how soon its server answers.
@@ -409,7 +442,7 @@
         attempt->timeout = timers_.at(look_by(*find(id.request), until), [this, id] { time_out(id); });
         return;
     }
-    backend_->cancel(id);
+    call_off(id, *attempt);
     end(id, *attempt, Outcome::Timeout, {}, find(id.request)->front == nullptr);
     forget_if_done(id.request);
 }
@@ -423,13 +456,13 @@
 }
 
 void Engine::give_up(RequestId id) {
-    const Request* const request = find(id);
-    const int class_index = request == nullptr ? 0 : request->arrival.class_index;
+    Request* const request = find(id);
+    if (request == nullptr || request->front == nullptr) return;
+    const int class_index = request->arrival.class_index;
+    Ending end = ending(id, *request, Verdict::Failed, Duration(0), true);
     Front* const front = drop(id);
-    if (front == nullptr) return;
-    count(class_index, Verdict::Failed);
     ++counters_.overdue;
-    front->failed();
+    tell(*front, class_index, std::move(end));
 }
 
 std::string Engine::hand_over() {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -59,6 +59,8 @@
     // In place of the body, where that is too long to be held: of an answer, of a request.
     std::shared_ptr<BodyFlow> flow = {};
     std::shared_ptr<Upload> upload = {};
+    int status = 200;       // of an answer
+    std::string id = {};    // of a request, where servers repeat it in their answers
 };
 
 // A request as its front describes it.
@@ -97,13 +99,29 @@
     int number = 0;
 };
 
+enum class Refusal { Quota, Room };     // what there was too little of
+enum class Failure { Broken, Late };    // Late: its deadline came
+
 // Where a request came from. Exactly one of these is called for each request taken, unless it was withdrawn.
 class Front {
 public:
     virtual ~Front() = default;
     virtual void served(Payload&& answer) = 0;
-    virtual void refused(Duration retry_after) = 0;
-    virtual void failed() = 0;
+    virtual void refused(Duration retry_after, Refusal why) = 0;
+    // With the last whole answer of a server that said itself that it failed, where such are kept; else one
+    // that tells nothing (says_failure).
+    virtual void failed(Failure why, Payload&& answer) = 0;
+};
+inline bool says_failure(const Payload& answer) { return answer.status >= 400; }
+
+// Where a front's requests go.
+class Intake {
+public:
+    virtual ~Intake() = default;
+    // May answer before it returns; 0 then, or any number, of which nothing is asked any more.
+    virtual std::uint64_t take(Front& front, Arrival&& arrival) = 0;
+    // No answer is wanted any more. Never for a request that was answered.
+    virtual void withdraw(std::uint64_t ticket) = 0;
 };
 
 // What carries attempts and probes. Each ends with one call of Engine::attempt_ended or probe_ended, which
@@ -114,6 +132,8 @@
     virtual void send(AttemptId attempt, HostId host, const Payload& request, Duration left) = 0;
     virtual void cancel(AttemptId attempt) = 0;
     virtual void probe(HostId host) = 0;
+    // Whether a byte of the attempt, which is out, may have reached its server.
+    virtual bool began(AttemptId) const { return true; }
 };
 
 class Mail {
@@ -142,6 +162,16 @@
     // Plans change in service: this desk rules on each request, and speaks to that ledger.
     void rule_by(plans::Desk& desk) { desk_ = &desk; }
     void keep_use_in(UseKeeper& keeper) { use_ = &keeper; }
+    // What a platform wants beyond what the module decides. All off unless told.
+    struct Manners {
+        // The last whole answer with which a server said that it failed goes to the front.
+        bool keeps_failures = false;
+        // A front hears `refused` where nothing of its request can have run, and `failed` where it may have,
+        // whatever the module called it.
+        bool refusal_promises = false;
+    };
+    void behave(const Manners& manners) { manners_ = manners; }
+    bool keeps_failures() const { return manners_.keeps_failures; }
     // Tells the module which of its allowances ran out or changed by now.
     void allowances_due();
 
@@ -187,6 +217,7 @@
         Timers::Id timeout = 0;
         TimePoint heard{};    // when its answer began
         bool out = true, began = false, flows = false;
+        bool ran = false;    // or may have, once it ended
     };
     struct Request {
         Front* front = nullptr;    // none: answered or withdrawn
@@ -196,7 +227,8 @@
         Timers::Id overdue = 0;
         std::vector<Attempt> attempts;
         int out = 0;
-        bool settled = false;    // its true units were heard, or could not be
+        bool settled = false;                // its true units were heard, or could not be
+        std::unique_ptr<Payload> failure;    // the last
     };
 
     Request* find(RequestId id);
@@ -214,8 +246,20 @@
     void admit(const Request& request, TimePoint now, bool is_sent);
     Front* close(Request& request);
     enum class Verdict { Served, Refused, Failed };
+    // What a front hears that gets no good answer.
+    struct Ending {
+        Verdict verdict = Verdict::Failed;
+        Duration wait{0};
+        Failure why = Failure::Broken;
+        Payload answer;
+    };
+    // `dropped`: what is still out is called off next.
+    Ending ending(RequestId id, Request& request, Verdict wanted, Duration wait = Duration(0),
+                  bool dropped = false) const;
+    void tell(Front& front, int class_index, Ending&& ending);
+    bool may_have_run(RequestId id, const Request& request, bool dropped) const;
+    void call_off(AttemptId id, Attempt& attempt);
     // Counts the answer that a request is about to get.
-    void count(const Request& request, Verdict verdict) { count(request.arrival.class_index, verdict); }
     void count(int class_index, Verdict verdict);
     Front* drop(RequestId id);
     void end(AttemptId id, Attempt& attempt, Outcome outcome, LoadReport&& report, bool final,
@@ -250,6 +294,7 @@
     limits::Ledger* ledger_ = nullptr;
     plans::Desk* desk_ = nullptr;
     UseKeeper* use_ = nullptr;
+    Manners manners_;
     std::vector<valehall::Allowance> told_;    // kept for its memory
     std::unordered_map<RequestId, Request> requests_;
     std::uint32_t last_request_ = 0;
@@ -262,4 +307,19 @@
     bool feeding_ = false;
 };
 
+// A front's way to one engine, with nothing in between.
+class EngineIntake : public Intake {
+public:
+    explicit EngineIntake(Engine& engine) : engine_(engine) {}
+    std::uint64_t take(Front& front, Arrival&& arrival) override {
+        return static_cast<std::uint64_t>(engine_.take(front, std::move(arrival)));
+    }
+    void withdraw(std::uint64_t ticket) override {
+        engine_.withdraw(RequestId{static_cast<std::uint32_t>(ticket)});
+    }
+
+private:
+    Engine& engine_;
+};
+
 }    // namespace shaletray
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -61,6 +61,9 @@
     Status end();
     void reset();
 
+    // Of messages that begin from now on.
+    void limit(const Limits& limits) { limits_ = limits; }
+    const Limits& limits() const { return limits_; }
     Fault fault() const { return fault_; }
     bool head_done() const { return head_ > 0; }
     // Valid once the head is done, as long as the message is in the buffer.
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -173,8 +173,8 @@
         TimePoint at{};
         Duration budget{0};
         void served(Payload&&) override { gateway->end(*this, End::Served, {}); }
-        void refused(Duration after) override { gateway->end(*this, End::Refused, after); }
-        void failed() override { gateway->end(*this, End::Failed, {}); }
+        void refused(Duration after, Refusal) override { gateway->end(*this, End::Refused, after); }
+        void failed(Failure, Payload&&) override { gateway->end(*this, End::Failed, {}); }
     };
     struct Known {    // of a request, for the rules
         std::uint64_t request = 0;
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -7,13 +7,9 @@
 
 using namespace std::chrono_literals;
 
-// From connecting, or from a request's first byte, until its head is whole: two seconds, and some for the
-// way. Its body may then come as slowly as kSlowest, in bytes a second, give or take as much time again.
-constexpr Duration kToAsk = 2500ms;
+// In bytes a second: a body may come as slowly, give or take as much time again as there was for the head.
 constexpr double kSlowest = 48.0 * 1024.0;
 constexpr std::size_t kCrowdPart = 16;    // of the descriptors: so many connections that pass by are a crowd
-constexpr Duration kIdleOnce = 2s;        // a client that has asked one thing and nothing since
-constexpr Duration kIdle = 60s;           // one that has asked more
 constexpr Duration kStuck = 15s;          // an answer that is not taken
 constexpr Duration kLinger = 1s;          // for a client to read an answer before the connection is cut
 constexpr std::size_t kAhead = 96 * 1024;    // what a client may send ahead of its answer
@@ -24,6 +20,7 @@
 // need them. For a moment there are two more of one: the client's buffer, and what a server has not taken.
 constexpr double kBodiesShare = 1.0 / 4, kBodyShare = 1.0 / 8;
 constexpr std::size_t kReadRoom = 8 * 1024;    // behind a body, so that its buffer grows once
+constexpr int kReady = 200, kNotReady = 503;
 
 }    // namespace
 
@@ -67,7 +64,10 @@
 };
 
 ClientConnection::ClientConnection(ClientContext& context, const Poco::Net::StreamSocket& socket)
-    : context_(context), stream_(context.reactor, *this), since_(context.reactor.clock().now()) {
+    : context_(context),
+      stream_(context.reactor, *this),
+      parser_(http::Parser::Kind::Request, context.door.limits()),
+      since_(context.reactor.clock().now()) {
     stream_.adopt(socket);
     ++context_.counters.clients_accepted;
     ++context_.counters.clients_open;
@@ -106,7 +106,7 @@
 // to them and of harm to others: clients may hold only so many, and those that wait for one are late. The
 // answer then ends the connection, which unlike a later close cannot cross a request.
 bool ClientConnection::crowded() const {
-    return asked_ <= 1 && context_.passing * kCrowdPart > context_.config.sockets;
+    return asked_ <= 1 && context_.passing * kCrowdPart > context_.room.sockets;
 }
 
 Spare ClientConnection::spare() const {
@@ -125,7 +125,7 @@
     if (state_ == State::Lingering) {
         discarded_ += stream_.input().size();
         stream_.input().consume(stream_.input().size());
-        if (discarded_ > (cut_short_ ? kLongestBody : kMostDiscarded)) stream_.read_on(false);
+        if (discarded_ > (cut_short_ ? parser_.limits().body : kMostDiscarded)) stream_.read_on(false);
         return;
     }
     // From a request's first byte on: one that trickles in must not begin its time anew with every byte. The
@@ -143,7 +143,7 @@
     while (state_ == State::Reading) {
         const http::Status status = parser_.parse(stream_.input());
         if (status == http::Status::Bad) {
-            reject(rejection_of(parser_.fault()));
+            reject(context_.door.faulty(parser_.fault()));
         } else if (status == http::Status::Done) {
             take_request();
         } else {
@@ -164,23 +164,21 @@
     keep_alive_ = parser_.keep_alive();
     http10_ = parser_.http10();
     const bool whole = parser_.whole();
-    if (whole && asks_ready(parser_, input)) {
-        input.consume(parser_.size());
-        parser_.reset();
+    if (whole && context_.door.asks_ready(parser_, input)) {
+        next_message();
         const bool ready = context_.ready() && !context_.leaving();
-        answer(ready ? kServed : kNotReady, "", ready ? "ready\n" : "not ready\n");
+        answer(ready ? kReady : kNotReady, "", ready ? "ready\n" : "not ready\n");
         return;
     }
     ++asked_;    // whoever asks for readiness only must not pass for a usual client
-    auto request = read_request(parser_, input, context_.config);
+    auto request = context_.door.read(parser_, input, context_.reactor.clock().now());
     if (const auto* rejection = std::get_if<Rejection>(&request)) return reject(*rejection);
-    const auto [open_id, is_new] = context_.open_ids.emplace(correlation_id(parser_, input));
-    if (!is_new) return reject({409, "this id is that of an open request"});
-    id_ = *open_id;
-    Arrival& arrival = std::get<Arrival>(request);
+    auto& [arrival, id, overlaps] = std::get<Taken>(request);
+    if (!id.empty() && !context_.open_ids.insert(id).second)
+        return reject({409, "this id is that of an open request"});
+    id_ = std::move(id);
     if (whole) {
-        input.consume(parser_.size());
-        parser_.reset();
+        next_message();
     } else {
         const std::string_view first = parser_.body(input);
         release_body();
@@ -192,21 +190,28 @@
     }
     continued_ = false;
     enter(State::Waiting);
-    request_ = RequestId{};
+    request_ = 0;
     passing_up_ = true;    // nothing of the rest before the request's number is known
-    const RequestId id = context_.engine.take(*this, std::move(arrival));
+    const std::uint64_t ticket = context_.intake.take(*this, std::move(arrival));
     passing_up_ = false;
     if (state_ != State::Waiting) return;
-    request_ = id;
+    request_ = ticket;
     pass_up();
 }
 
+// The message is done with: what follows it is another one.
+void ClientConnection::next_message() {
+    stream_.input().consume(parser_.size());
+    parser_.reset();
+    parser_.limit(context_.door.limits());
+}
+
 // ---- long requests ----
 
 // A body that comes slowly would hold a place at a server for seconds: it is better whole before its request
 // is decided on, where the memory for that is there.
 bool ClientConnection::may_hold(std::size_t here) {
-    const double memory = context_.config.memory_mb * 1024 * 1024;
+    const double memory = context_.room.memory_mb * 1024 * 1024;
     const double all = static_cast<double>(parser_.length().value_or(here));
     const std::size_t others = context_.held_bodies - held_;
     if (all > memory * kBodyShare || static_cast<double>(others) + all > memory * kBodiesShare) return false;
@@ -226,9 +231,9 @@
     const TimePoint now = context_.reactor.clock().now();
     const std::size_t had = parser_.body(input).size();
     if (!parser_.whole() && parser_.parse(input) == http::Status::Bad) {
-        turn_back(rejection_of(parser_.fault()));
-    } else if (uploaded_ + parser_.body(input).size() > kLongestBody) {
-        turn_back(rejection_of(http::Fault::BodyTooLarge));
+        turn_back(context_.door.faulty(parser_.fault()));
+    } else if (uploaded_ + parser_.body(input).size() > parser_.limits().body) {
+        turn_back(context_.door.faulty(http::Fault::BodyTooLarge));
     } else {
         if (parser_.whole() ? !upload_->whole() : parser_.body(input).size() > had)
             upload_->came(now, parser_.whole());
@@ -246,8 +251,7 @@
     if (parser_.whole() && parser_.body(input).empty() && upload_->given()) {
         const std::shared_ptr<LongBody> upload = upload_;
         end_upload();
-        input.consume(parser_.size());
-        parser_.reset();
+        next_message();
         stream_.read_on(true);
         return upload->sink()->on_body_end(true);
     }
@@ -267,31 +271,33 @@
 
 // What is wrong with a request shows after it was taken.
 void ClientConnection::turn_back(const Rejection& rejection) {
-    context_.engine.withdraw(request_);
+    context_.intake.withdraw(request_);
     reject(rejection);
 }
 
 void ClientConnection::reject(const Rejection& rejection) {
-    keep_alive_ = false;
+    if (rejection.keeps_connection && parser_.whole()) next_message();
+    else keep_alive_ = false;
     answer(rejection.status, "Content-Type: text/plain\r\n", std::string(rejection.reason) + "\n");
 }
 
 void ClientConnection::served(Payload&& payload) {
     if (payload.flow) pass_on(std::move(payload));
-    else answer(kServed, payload.head, payload.body);
+    else answer(payload.status, payload.head, payload.body);
 }
 
 // ---- long answers ----
 
 void ClientConnection::pass_on(Payload&& payload) {
     if (state_ == State::Closed) return;
-    begin_answer(kServed);
+    begin_answer(payload.status);
     const std::optional<std::uint64_t> length = payload.flow->length();
     framing_ = length ? Body::Stated : http10_ ? Body::UntilClose : Body::Chunked;
     if (framing_ == Body::UntilClose) keep_alive_ = false;
     flow_ = std::move(payload.flow);
     ++context_.counters.flows_open;
-    if (!stream_.send(write_answer_head(kServed, payload.head, framing_, length.value_or(0), keep_alive_)))
+    if (!stream_.send(write_answer_head(payload.status, headers(payload.head), framing_, length.value_or(0),
+                                        keep_alive_)))
         return close();
     const std::shared_ptr<BodyFlow> flow = flow_;    // which the first piece may end
     flow->begin(*this);
@@ -319,13 +325,25 @@
     --context_.counters.flows_open;
 }
 
-void ClientConnection::refused(Duration wait) { answer(kRefused, retry_after(wait), ""); }
-void ClientConnection::failed() { answer(kFailed, "", ""); }
+void ClientConnection::refused(Duration wait, Refusal why) { answer(context_.door.refused(why, wait)); }
+
+void ClientConnection::failed(Failure why, Payload&& payload) {
+    if (says_failure(payload)) answer(payload.status, payload.head, payload.body);
+    else answer(context_.door.failed(why));
+}
+
+void ClientConnection::answer(Final&& final) { answer(final.status, final.headers, final.body); }
+
+std::string ClientConnection::headers(std::string_view own) const {
+    std::string all(own);
+    if (keep_alive_) all += context_.door.kept_headers();
+    return all;
+}
 
-void ClientConnection::answer(int status, std::string_view headers, std::string_view body) {
+void ClientConnection::answer(int status, std::string_view own, std::string_view body) {
     if (state_ == State::Closed) return;
     begin_answer(status);
-    if (!stream_.send(write_answer(status, headers, body, keep_alive_))) return close();
+    if (!stream_.send(write_answer(status, headers(own), body, keep_alive_))) return close();
     if (stream_.sent_all()) answered();
 }
 
@@ -380,16 +398,16 @@
 Duration ClientConnection::patience() const {
     if (state_ == State::Lingering && !cut_short_) return kLinger;
     if (state_ == State::Writing) return kStuck;
-    const auto for_body = [](std::size_t bytes) {
-        return kToAsk + std::chrono::duration_cast<Duration>(
+    const Duration to_ask = context_.door.header_timeout();
+    const auto for_body = [to_ask](std::size_t bytes) {
+        return to_ask + std::chrono::duration_cast<Duration>(
                             std::chrono::duration<double>(static_cast<double>(bytes) / kSlowest));
     };
     if (state_ == State::Lingering) return for_body(discarded_);
     const std::size_t here = parser_.body(stream_.input()).size();
     if (upload_) return for_body(uploaded_ + here);
     if (head_at_ != TimePoint{}) return head_at_ - since_ + for_body(here);
-    if (asked_ == 0 || begun_) return kToAsk;
-    return asked_ == 1 ? kIdleOnce : kIdle;
+    return asked_ == 0 || begun_ ? to_ask : context_.door.idle_timeout(asked_);
 }
 
 void ClientConnection::sweep(TimePoint now) {
@@ -411,7 +429,7 @@
     release_body();
     release_id();
     stream_.close();
-    if (waiting) context_.engine.withdraw(request_);
+    if (waiting) context_.intake.withdraw(request_);
     context_.closed(*this);
 }
 
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -9,9 +10,9 @@
 #include <utility>
 
 #include "core/engine.h"
+#include "http/answer.h"
+#include "net/door.h"
 #include "net/stream.h"
-#include "platform/config.h"
-#include "platform/messages.h"
 
 namespace shaletray {
 
@@ -20,10 +21,17 @@
 // How readily a connection is given up when room is wanted: the first of these goes first.
 enum class Spare { Answered, Silent, AskedOnce, Kept, No };
 
+// What there is for all clients together.
+struct ClientRoom {
+    std::size_t sockets = 1024;    // descriptors, those for servers among them
+    double memory_mb = 32.0;       // of which a quarter may hold long bodies
+};
+
 // What the connections of one listener share.
 struct ClientContext {
-    Engine& engine;
-    const Config& config;
+    Intake& intake;
+    Door& door;
+    ClientRoom room;
     Counters& counters;
     Reactor& reactor;
     std::function<bool()> ready;
@@ -57,8 +65,8 @@
     enum class State { Reading, Waiting, Writing, Lingering, Closed };
 
     void served(Payload&& answer) override;
-    void refused(Duration retry_after) override;
-    void failed() override;
+    void refused(Duration retry_after, Refusal why) override;
+    void failed(Failure why, Payload&& answer) override;
     void on_input() override;
     void on_sent() override;
     void on_broken() override;
@@ -71,11 +79,14 @@
     void end_upload();
     void turn_back(const Rejection& rejection);
     void pass_on(Payload&& answer);
+    void answer(Final&& final);
     void begin_answer(int status);
+    std::string headers(std::string_view own) const;
+    void next_message();
     void end_flow();
     void take_request();
     void reject(const Rejection& rejection);
-    void answer(int status, std::string_view headers, std::string_view body);
+    void answer(int status, std::string_view own, std::string_view body);
     void answered();
     void close();
     void enter(State state);
@@ -91,11 +102,10 @@
     Stream stream_;
     // Where a longer body cannot be held, its request is taken once so much is here, and what follows is
     // passed on as it comes.
-    static constexpr std::size_t kTakeFrom = 64 * 1024, kLongestHead = 16 * 1024, kMostHeaders = 100,
-                                 kLongestBody = 64 * 1024 * 1024;
-    http::Parser parser_{http::Parser::Kind::Request, {kLongestHead, kLongestBody, kMostHeaders}};
+    static constexpr std::size_t kTakeFrom = 64 * 1024;
+    http::Parser parser_;
     State state_ = State::Reading;
-    RequestId request_{};
+    std::uint64_t request_ = 0;    // its ticket
     std::string id_;               // of the request that is open
     std::uint64_t asked_ = 0;      // whole requests
     std::size_t discarded_ = 0;    // bytes behind the last answer
--- /dev/null
+++ b/src/net/door.h
@@ -0,0 +1,62 @@
+// What a platform makes of its clients' messages, and how it words what is not a server's answer.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "core/engine.h"
+#include "http/message.h"
+
+namespace shaletray {
+
+// A request that was read and goes on to the intake.
+struct Taken {
+    Arrival arrival;
+    std::string id;           // of the request; no two open ones may have the same. Empty: not checked
+    bool overlaps = false;    // the client's next request may be worked on before this one is answered
+};
+
+// A request that is answered at the door.
+struct Rejection {
+    int status = 400;
+    std::string_view reason;    // text that stays
+    // Unless something is wrong with how the message was framed, its connection may serve the next one. Where
+    // its body is still coming, it ends all the same.
+    bool keeps_connection = false;
+};
+
+// An answer that is not a server's.
+struct Final {
+    int status = 500;
+    std::string headers = {};    // whole lines, each with its end
+    std::string body = {};
+};
+
+// Of a message that cannot be read.
+Rejection rejection_of(http::Fault fault);
+
+class Door {
+public:
+    virtual ~Door() = default;
+    // A question for readiness, which is answered with 200 or 503 and counts as no request.
+    virtual bool asks_ready(const http::Parser&, const http::Buffer&) const { return false; }
+    // Of a request whose body is still coming the body is left to the caller, as its `upload`.
+    virtual std::variant<Taken, Rejection> read(const http::Parser& parser, const http::Buffer& buffer,
+                                                TimePoint now) = 0;
+    virtual Rejection faulty(http::Fault fault) const { return rejection_of(fault); }
+    // For messages that begin from now on.
+    virtual http::Limits limits() const = 0;
+    // From connecting, or from a request's first byte, until its head is whole.
+    virtual Duration header_timeout() const = 0;
+    // How long a connection may stay that waits for its next request, after `asked` requests, at least one.
+    virtual Duration idle_timeout(std::uint64_t asked) const = 0;
+    // Nothing of the request has run, and nothing will. `wait`: when it may come again, 0 where none is told.
+    virtual Final refused(Refusal why, Duration wait) const = 0;
+    virtual Final failed(Failure why) const = 0;
+    // Headers of every answer after which the connection stays, as whole lines.
+    virtual std::string_view kept_headers() const { return {}; }
+};
+
+}    // namespace shaletray
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -26,9 +26,9 @@
     return socket;
 }
 
-Listener::Listener(Engine& engine, const Config& config, Counters& counters, Reactor& reactor,
+Listener::Listener(Intake& intake, Door& door, ClientRoom room, Counters& counters, Reactor& reactor,
                    Poco::Net::ServerSocket socket, std::size_t most_clients, std::function<bool()> ready)
-    : context_{engine, config, counters, reactor, std::move(ready), {}, false, false},
+    : context_{intake, door, room, counters, reactor, std::move(ready), {}, false, false},
       most_clients_(most_clients),
       socket_(std::move(socket)) {
     context_.closed = [this](ClientConnection& client) {
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -18,7 +18,7 @@
     // Throws Poco::Exception where the address cannot be listened on. The processes of one gateway may all
     // listen there; whoever comes from then on waits until he is accepted.
     static Poco::Net::ServerSocket listen(const std::string& address);
-    Listener(Engine& engine, const Config& config, Counters& counters, Reactor& reactor,
+    Listener(Intake& intake, Door& door, ClientRoom room, Counters& counters, Reactor& reactor,
              Poco::Net::ServerSocket socket, std::size_t most_clients, std::function<bool()> ready);
     ~Listener();
     Listener(const Listener&) = delete;
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -2,18 +2,23 @@
 
 #include <utility>
 
+#include "http/answer.h"
+
 namespace shaletray {
 namespace {
 
-constexpr int kMostInterim = 32;
+constexpr int kMostSkipped = 32;
 
 }    // namespace
 
-void ServerConnection::begin(std::string message, std::shared_ptr<Upload> upload) {
+void ServerConnection::begin(std::string message, bool probe, std::string id,
+                             std::shared_ptr<Upload> upload) {
     message_ = std::move(message);
     upload_ = std::move(upload);
-    began_ = false;
-    interim_ = 0;
+    asked_.probe = probe;
+    asked_.id = std::move(id);
+    began_ = answered_ = judged_ = false;
+    skipped_ = 0;
     if (state_ == State::Idle) return write();
     state_ = State::Dialling;
     if (!stream_.dial(address_)) end(Outcome::ConnectFailed, false);
@@ -78,22 +83,14 @@
     }
     if (state_ == State::Flowing) return flow();
     if (state_ != State::Reading && state_ != State::Writing) return;
-    http::Buffer& input = stream_.input();
-    http::Status status = parser_.parse(input);
-    // Interim answers say nothing yet; but they must not go on for ever, nor lead to another protocol.
-    while (status == http::Status::Done && parser_.status() < 200) {
-        if (++interim_ > kMostInterim || parser_.status() == 101) return end_spoilt();
-        input.consume(parser_.size());
-        parser_.reset();
-        status = parser_.parse(input);
-    }
-    if (parser_.head_done() && parser_.status() == 200 && !std::exchange(began_, true))
-        owner_.answer_began(*this);
+    const http::Status status = read_answer();
+    if (judged_ && good_ && !std::exchange(began_, true)) owner_.answer_began(*this);
     if (status == http::Status::Bad) return end_spoilt();
+    http::Buffer& input = stream_.input();
     if (status == http::Status::More) {
         // The first of a long answer is what its client waits for. Where no length is stated, only what is
         // here tells how long it is.
-        const bool flows = state_ == State::Reading && parser_.head_done() && parser_.status() == 200 &&
+        const bool flows = state_ == State::Reading && judged_ && good_ &&
                            parser_.length().value_or(parser_.body(input).size()) >= kFlowFrom;
         if (!flows) {
             // What is no good answer, or comes before its request was written, is not held at any length.
@@ -106,9 +103,35 @@
         return owner_.answer_flows(*this);
     }
     // A server begins once it has the whole request: what is good before that answers something else.
-    if (parser_.status() == 200 && state_ == State::Writing) return end_spoilt();
+    if (good_ && state_ == State::Writing) return end_spoilt();
     const bool whole = state_ == State::Reading && input.size() == parser_.size();
-    end(outcome_of(parser_, input), whole && parser_.keep_alive());
+    answered_ = true;
+    end(dialect_.outcome_of(asked_, parser_, input), whole && parser_.keep_alive());
+}
+
+// Up to the answer that counts, and how far that one is here. Those before it say nothing of the request; but
+// they must not go on for ever, nor lead to another protocol.
+http::Status ServerConnection::read_answer() {
+    http::Buffer& input = stream_.input();
+    while (true) {
+        const http::Status status = parser_.parse(input);
+        if (!parser_.head_done()) return status;
+        const bool interim = parser_.status() < 200;
+        if (!interim && !std::exchange(judged_, true)) {
+            fits_ = dialect_.fits(asked_, parser_, input);
+            good_ = fits_ == Fits::Yes && dialect_.good(asked_, parser_, input);
+        }
+        if (status == http::Status::Bad || (judged_ && fits_ == Fits::No)) return http::Status::Bad;
+        if (judged_ && fits_ == Fits::Yes) return status;
+        if (status == http::Status::More) {
+            parser_.drop_body(input, parser_.body(input).size());
+            return status;
+        }
+        if (++skipped_ > kMostSkipped || parser_.status() == 101) return http::Status::Bad;
+        input.consume(parser_.size());
+        parser_.reset();
+        judged_ = false;
+    }
 }
 
 void ServerConnection::on_broken() {
@@ -116,9 +139,10 @@
         case State::Dialling:
         case State::Writing: return end(Outcome::ConnectFailed, false);
         case State::Reading:
-            if (stream_.ended() && parser_.end() == http::Status::Done)
-                return end(outcome_of(parser_, stream_.input()), false);
-            return end(Outcome::Reset, false);
+            answered_ =
+                stream_.ended() && judged_ && fits_ == Fits::Yes && parser_.end() == http::Status::Done;
+            return end(answered_ ? dialect_.outcome_of(asked_, parser_, stream_.input()) : Outcome::Reset,
+                       false);
         case State::Flowing: return end_flow(stream_.ended() && parser_.end() == http::Status::Done);
         case State::Idle: return owner_.idle_broken(*this);
         default: return;
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -4,8 +4,8 @@
 
 #include <string>
 
+#include "net/dialect.h"
 #include "net/stream.h"
-#include "platform/messages.h"
 
 namespace shaletray {
 
@@ -33,22 +33,30 @@
 
 class ServerConnection : public Retired, private StreamOwner, private BodySink {
 public:
-    ServerConnection(Reactor& reactor, ServerConnectionOwner& owner, HostId host, std::string address)
-        : owner_(owner), host_(host), address_(std::move(address)), stream_(reactor, *this) {}
+    ServerConnection(Reactor& reactor, ServerConnectionOwner& owner, const Dialect& dialect, HostId host,
+                     std::string address)
+        : owner_(owner),
+          dialect_(dialect),
+          address_(std::move(address)),
+          asked_{host},
+          stream_(reactor, *this) {}
 
-    HostId host() const { return host_; }
+    HostId host() const { return asked_.host; }
     const std::string& address() const { return address_; }
     const http::Parser& parser() const { return parser_; }
     const http::Buffer& input() const { return stream_.input(); }
     bool dialling() const { return state_ == State::Dialling; }
     // What came is no answer: nothing in it counts.
     bool spoilt() const { return spoilt_; }
+    // What came is a whole answer.
+    bool answered() const { return answered_; }
+    const Asked& asked() const { return asked_; }
     // Fit for another exchange: nothing stray has come in, and it has not been ended.
     bool fit() { return state_ == State::Idle && stream_.quiet(); }
 
     // Dials first where it is new. May end the exchange at once. What follows the message, if anything, is
-    // passed on as it comes, as fast as the server takes it.
-    void begin(std::string message, std::shared_ptr<Upload> upload = {});
+    // passed on as it comes, as fast as the server takes it. `id`: of the request; `probe`: none.
+    void begin(std::string message, bool probe, std::string id = {}, std::shared_ptr<Upload> upload = {});
     // Pieces of a flowing answer are wanted, or not for now.
     void flow_on(bool wanted);
     // The answer has been looked at: ready for the next exchange.
@@ -64,6 +72,7 @@
     void on_broken() override;
     void on_body(std::string_view bytes) override;
     void on_body_end(bool whole) override;
+    http::Status read_answer();
     void write();
     void written();
     void let_go();
@@ -73,8 +82,9 @@
     void end_flow(bool whole);
 
     ServerConnectionOwner& owner_;
-    HostId host_;
+    const Dialect& dialect_;
     std::string address_;
+    Asked asked_;
     Stream stream_;
     std::string message_;
     std::shared_ptr<Upload> upload_;    // what is still to be written
@@ -84,8 +94,11 @@
                                  kLongestBody = std::size_t{1} << 30;
     http::Parser parser_{http::Parser::Kind::Response, {kLongestHead, kLongestBody, kMostHeaders}};
     State state_ = State::New;
-    bool began_ = false, spoilt_ = false, wanted_ = false, flowing_ = false;
-    int interim_ = 0;    // answers before the final one
+    bool began_ = false, answered_ = false, spoilt_ = false, wanted_ = false, flowing_ = false;
+    bool judged_ = false;    // the head of a final answer is here, and these two are known
+    Fits fits_ = Fits::Yes;
+    bool good_ = false;
+    int skipped_ = 0;    // answers before the one that counts
 };
 
 }    // namespace shaletray
--- a/src/net/server_pool.cpp
+++ b/src/net/server_pool.cpp
@@ -11,6 +11,7 @@
 // What a server sends beyond its answer comes right after it. On a connection used again sooner, that would
 // be read as the next request's answer.
 constexpr Duration kSettle = 200us;
+constexpr double kIdleShare = 0.6;    // of the time after which a server says that it closes a connection
 
 }    // namespace
 
@@ -45,11 +46,15 @@
     BodySink* sink_ = nullptr;
 };
 
-ServerPool::ServerPool(Engine& engine, const HostDirectory& hosts, Counters& counters, Reactor& reactor,
-                       Limits limits)
-    : engine_(engine), hosts_(hosts), counters_(counters), reactor_(reactor), limits_(limits) {
-    sweep_timer_ = reactor_.after(kSweepEvery, [this] { sweep(); });
-}
+ServerPool::ServerPool(Engine& engine, const Hosts& hosts, const Dialect& dialect, ConnectionBudget& budget,
+                       Counters& counters, Reactor& reactor, Limits limits)
+    : engine_(engine),
+      hosts_(hosts),
+      dialect_(dialect),
+      budget_(budget),
+      counters_(counters),
+      reactor_(reactor),
+      limits_(limits) {}
 
 ServerPool::~ServerPool() {
     reactor_.cancel(sweep_timer_);
@@ -57,45 +62,63 @@
         reactor_.cancel(entry.limit);
         if (entry.flow != nullptr) entry.flow->detach();
     }
+    for (auto& [host, place] : places_) {
+        for (ServerConnection* const idle : place.idle) budget_.idle_.erase(connections_.at(idle).place);
+    }
+    budget_.open_ -= connections_.size();
     connections_.clear();
     reactor_.reap();
 }
 
 // An address may pass on to another server, and a server's process may be another one after a restart.
 bool ServerPool::current(const ServerConnection& connection, const Entry& entry) const {
-    const HostDirectory::Host* const known = hosts_.find(connection.host());
+    const Hosts::Host* const known = hosts_.find(connection.host());
     return known != nullptr && known->address == connection.address() && known->born == entry.born;
 }
 
 ServerPool::Entry* ServerPool::acquire(HostId host, Outcome& why_not) {
-    const HostDirectory::Host* const known = hosts_.find(host);
+    const Hosts::Host* const known = hosts_.find(host);
     if (known == nullptr || !hosts_.may_begin(host, reactor_.clock().now())) {
         why_not = Outcome::ConnectFailed;
         return nullptr;
     }
     // The most recently used first: the others may then grow old and be closed.
-    const TimePoint settled = reactor_.clock().now() - kSettle;
-    std::vector<ServerConnection*>& idle = idle_[host];
-    for (std::size_t at = idle.size(); at-- > 0;) {
-        ServerConnection* const connection = idle[at];
-        Entry& entry = connections_.at(connection);
-        if (entry.since > settled) continue;
-        if (connection->fit() && current(*connection, entry)) {
-            idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
-            ++counters_.servers_reused;
-            return &entry;
+    const TimePoint now = reactor_.clock().now();
+    if (const auto place = places_.find(host); place != places_.end()) {
+        std::vector<ServerConnection*>& idle = place->second.idle;    // gone with the last that is dropped
+        for (std::size_t at = idle.size(); at-- > 0;) {
+            ServerConnection* const connection = idle[at];
+            Entry& entry = connections_.at(connection);
+            if (entry.since > now - kSettle) continue;
+            // Past the limits' own time one is closed at the next sweep; what its server told is kept to the
+            // dot.
+            const bool old = entry.keep < limits_.idle && now - entry.since > entry.keep;
+            if (!old && connection->fit() && current(*connection, entry)) {
+                idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
+                budget_.idle_.erase(entry.place);
+                ++counters_.servers_reused;
+                return &entry;
+            }
+            drop(*connection);
         }
-        drop(*connection);
     }
-    if (connections_.size() >= limits_.connections) drop_oldest_idle();
-    if (connections_.size() >= limits_.connections) {
-        why_not = Outcome::NotSent;    // our own want of descriptors, which says nothing of the server
+    if (budget_.open_ >= budget_.most_ && !budget_.idle_.empty()) {
+        const auto [pool, longest] = budget_.idle_.front();
+        pool->drop(*longest);
+    }
+    const auto place = places_.find(host);
+    const std::size_t there = place == places_.end() ? 0 : place->second.open;
+    // Our own want of descriptors, or places, which says nothing of the server.
+    if (budget_.open_ >= budget_.most_ || (limits_.per_host > 0 && there >= limits_.per_host)) {
+        why_not = Outcome::NotSent;
         return nullptr;
     }
+    ++budget_.open_;
+    ++places_[host].open;
     ++counters_.servers_dialled;
     ++counters_.servers_open;
     ServerConnectionOwner& owner = *this;
-    auto connection = std::make_unique<ServerConnection>(reactor_, owner, host, known->address);
+    auto connection = std::make_unique<ServerConnection>(reactor_, owner, dialect_, host, known->address);
     ServerConnection* const at = connection.get();
     Entry& entry = connections_[at];
     entry.connection = std::move(connection);
@@ -111,7 +134,7 @@
     entry->attempt = attempt;
     entry->since = reactor_.clock().now();
     attempts_[key(attempt)] = connection;
-    connection->begin(write_request(request, left), request.upload);
+    connection->begin(dialect_.write_request(request, host, left), false, request.id, request.upload);
     if (const auto it = connections_.find(connection); it != connections_.end() && connection->dialling()) {
         it->second.limit = reactor_.after(limits_.dial, [this, connection] {
             if (connection->dialling()) exchange_ended(*connection, Outcome::ConnectFailed, false);
@@ -124,6 +147,11 @@
     if (it != attempts_.end()) drop(*it->second);    // its server sees the connection end, and so the attempt
 }
 
+bool ServerPool::began(AttemptId attempt) const {
+    const auto it = attempts_.find(key(attempt));
+    return it == attempts_.end() || !it->second->dialling();
+}
+
 void ServerPool::probe(HostId host) {
     Outcome why_not{};
     Entry* const entry = acquire(host, why_not);
@@ -134,7 +162,7 @@
         const Outcome outcome = connection->dialling() ? Outcome::ConnectFailed : Outcome::Timeout;
         exchange_ended(*connection, outcome, false);
     });
-    connection->begin(write_probe(connection->address()));
+    connection->begin(dialect_.write_probe(host, connection->address()), true);
 }
 
 bool ServerPool::may_begin(const ServerConnection& connection) {
@@ -164,8 +192,6 @@
     if (it == connections_.end()) return;
     Entry& entry = it->second;
     const bool spoilt = connection.spoilt();
-    const bool whole =
-        !spoilt && (outcome == Outcome::Ok || outcome == Outcome::Error || outcome == Outcome::Full);
     LoadReport load;
     Payload answer;
     double units = kUnitsUntold;
@@ -173,12 +199,13 @@
         ++counters_.bad_answers;
         if (gate_.open())
             log(LogLevel::Warning, Event::ServerSpoiltAnswer, {kv("server", connection.address())});
-    } else if (whole) {
-        load = report_of(connection.parser(), connection.input());
-        if (outcome == Outcome::Ok && entry.attempt) {
-            answer = answer_of(connection.parser(), connection.input());
-            units = settled_units_of(connection.parser(), connection.input());
-        }
+    } else if (connection.answered()) {
+        load = dialect_.report_of(connection.parser(), connection.input());
+        const bool wanted = outcome == Outcome::Ok || (outcome == Outcome::Error && engine_.keeps_failures());
+        if (wanted && entry.attempt)
+            answer = dialect_.answer_of(connection.parser(), connection.input(), true);
+        if (outcome == Outcome::Ok && entry.attempt)
+            units = dialect_.settled_units_of(connection.parser(), connection.input());
     } else if (outcome == Outcome::ConnectFailed) {
         ++counters_.servers_dial_failed;
     }
@@ -186,11 +213,9 @@
     const HostId host = connection.host();
     const TimePoint now = reactor_.clock().now();
     const Duration took = now - entry.since;
-    if (reusable && current(connection, entry)) {
-        keep(connection, entry);
-    } else {
-        drop(connection);
-    }
+    const std::optional<Duration> most = reusable ? most_idle(connection) : std::nullopt;
+    if (most && current(connection, entry)) keep(connection, entry, *most);
+    else drop(connection);
     report(attempt, host, outcome, took, std::move(load), std::move(answer), units);
 }
 
@@ -202,11 +227,23 @@
 }
 
 // For the next exchange.
-void ServerPool::keep(ServerConnection& connection, Entry& entry) {
+void ServerPool::keep(ServerConnection& connection, Entry& entry, Duration most) {
     connection.release();
     forget_attempt(entry);
     entry.since = reactor_.clock().now();
-    idle_[connection.host()].push_back(&connection);
+    entry.keep = most;
+    places_[connection.host()].idle.push_back(&connection);
+    entry.place = budget_.idle_.insert(budget_.idle_.end(), {this, &connection});
+    if (sweep_timer_ == 0) sweep_timer_ = reactor_.after(kSweepEvery, [this] { sweep(); });
+}
+
+// Before the answer's buffer is given back.
+std::optional<Duration> ServerPool::most_idle(const ServerConnection& connection) const {
+    const auto told = dialect_.idle_limit(connection.parser(), connection.input());
+    if (!told) return limits_.idle;
+    if (*told <= Duration(0)) return std::nullopt;
+    const Duration ours(static_cast<std::int64_t>(kIdleShare * static_cast<double>(told->count())));
+    return std::min(limits_.idle, ours);
 }
 
 // The attempt has ended well as far as anybody decides on it: nothing can be tried again once a part of the
@@ -222,10 +259,11 @@
     entry.flow = flow.get();
     forget_attempt(entry);
     ++counters_.flows;
-    Payload answer = answer_of(connection.parser(), connection.input(), false);
+    Payload answer = dialect_.answer_of(connection.parser(), connection.input(), false);
     answer.flow = std::move(flow);
-    report(attempt, connection.host(), Outcome::Ok, took, report_of(connection.parser(), connection.input()),
-           std::move(answer), settled_units_of(connection.parser(), connection.input()));
+    report(attempt, connection.host(), Outcome::Ok, took,
+           dialect_.report_of(connection.parser(), connection.input()), std::move(answer),
+           dialect_.settled_units_of(connection.parser(), connection.input()));
 }
 
 void ServerPool::body_came(ServerConnection& connection, std::string_view bytes) {
@@ -238,7 +276,8 @@
     if (it == connections_.end()) return;
     Entry& entry = it->second;
     Flow* const flow = std::exchange(entry.flow, nullptr);
-    if (reusable && current(connection, entry)) keep(connection, entry);
+    const std::optional<Duration> most = reusable ? most_idle(connection) : std::nullopt;
+    if (most && current(connection, entry)) keep(connection, entry, *most);
     else drop(connection);
     if (!whole) ++counters_.flows_broken;
     if (flow == nullptr) return;
@@ -260,51 +299,41 @@
     if (it == connections_.end()) return;
     Entry& entry = it->second;
     forget_attempt(entry);
-    if (const auto idle = idle_.find(connection.host()); idle != idle_.end()) {
-        std::erase(idle->second, &connection);
-        if (idle->second.empty() && hosts_.find(connection.host()) == nullptr) idle_.erase(idle);
-    }
+    Place& place = places_.at(connection.host());
+    --place.open;
+    --budget_.open_;
+    if (std::erase(place.idle, &connection) > 0) budget_.idle_.erase(entry.place);
+    // Servers come and go all day: nothing may stay of those that went.
+    if (place.open == 0) places_.erase(connection.host());
     connection.close();
     --counters_.servers_open;
     reactor_.retire(std::move(entry.connection));
     connections_.erase(it);
 }
 
-void ServerPool::drop_oldest_idle() {
-    ServerConnection* oldest = nullptr;
-    TimePoint since = TimePoint::max();
-    for (const auto& [host, idle] : idle_) {
-        if (idle.empty() || connections_.at(idle.front()).since >= since) continue;
-        oldest = idle.front();
-        since = connections_.at(oldest).since;
-    }
-    if (oldest != nullptr) drop(*oldest);
-}
-
 void ServerPool::list_changed() {
     std::vector<ServerConnection*> stale;
-    for (const auto& [host, idle] : idle_) {
-        for (ServerConnection* connection : idle) {
+    for (const auto& [host, place] : places_) {
+        for (ServerConnection* connection : place.idle) {
             if (!current(*connection, connections_.at(connection))) stale.push_back(connection);
         }
     }
     for (ServerConnection* connection : stale) drop(*connection);
-    // Servers come and go all day: nothing may stay of those that went.
-    std::erase_if(idle_, [this](const auto& item) {
-        return item.second.empty() && hosts_.find(item.first) == nullptr;
-    });
 }
 
 void ServerPool::sweep() {
     std::vector<ServerConnection*> old;
+    bool any = false;
     const TimePoint now = reactor_.clock().now();
-    for (const auto& [host, idle] : idle_) {
-        for (ServerConnection* connection : idle) {
-            if (now - connections_.at(connection).since > limits_.idle) old.push_back(connection);
+    for (const auto& [host, place] : places_) {
+        for (ServerConnection* connection : place.idle) {
+            const Entry& entry = connections_.at(connection);
+            if (now - entry.since > entry.keep) old.push_back(connection);
+            else any = true;
         }
     }
     for (ServerConnection* connection : old) drop(*connection);
-    sweep_timer_ = reactor_.after(kSweepEvery, [this] { sweep(); });
+    sweep_timer_ = any ? reactor_.after(kSweepEvery, [this] { sweep(); }) : 0;
 }
 
 }    // namespace shaletray
--- a/src/platform/member_list.h
+++ b/src/platform/member_list.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "net/hosts.h"
 #include "valehall/control.h"
 
 namespace shaletray {
@@ -41,22 +42,20 @@
     TimePoint since;
 };
 
-class HostDirectory {
+class HostDirectory : public Hosts {
 public:
     explicit HostDirectory(Duration drain_grace) : drain_grace_(drain_grace) {}
 
-    struct Host {
-        std::string id, address;
+    struct Host : Hosts::Host {
+        std::string id;
         valehall::HostState state = valehall::HostState::Healthy;
         TimePoint left{};              // since when it is not healthy, or taken out
         valehall::HostEntry listed;    // as last listed
-        TimePoint born{};              // its process's start, as listed
     };
     // Takes the list in, and gives it as the module reads it.
     valehall::HostList apply(const MemberList& list, valehall::ListKind kind, TimePoint now);
-    const Host* find(valehall::HostId host) const;
-    // Whether the first byte of a request may still go there.
-    bool may_begin(valehall::HostId host, TimePoint now) const;
+    const Host* find(valehall::HostId host) const override;
+    bool may_begin(valehall::HostId host, TimePoint now) const override;
     std::size_t size() const { return hosts_.size(); }
 
     // Maintenance by hand, by discovery's id. A server that is taken out counts as one that drains, whatever
--- a/src/platform/messages.cpp
+++ b/src/platform/messages.cpp
@@ -15,6 +15,14 @@
                            kHost = "Host", kReservation = "X-Reservation", kCostUnits = "X-Cost-Units";
 
 constexpr double kMostReported = 1e6;
+constexpr int kServed = 200, kRefused = 429, kFailed = 502;
+// Of what clients send.
+constexpr std::size_t kLongestHead = 16 * 1024, kMostHeaders = 100, kLongestBody = 64 * 1024 * 1024;
+// From connecting, or from a request's first byte, until its head is whole: two seconds, and some for the
+// way.
+constexpr Duration kToAsk = std::chrono::milliseconds(2500);
+constexpr Duration kIdleOnce = std::chrono::seconds(2);    // a client that asked one thing and nothing since
+constexpr Duration kIdle = std::chrono::seconds(60);       // one that has asked more
 constexpr std::uint64_t kCustomers = 1ULL << 33;
 constexpr std::size_t kLongestId = 256;
 constexpr std::size_t kLongestReservation = 64;
@@ -84,24 +92,6 @@
     return target.substr(0, std::min(target.find_first_of("/?"), target.size()));
 }
 
-std::string_view reason_of(int status) {
-    switch (status) {
-        case 200: return "OK";
-        case 400: return "Bad Request";
-        case 404: return "Not Found";
-        case 405: return "Method Not Allowed";
-        case 408: return "Request Timeout";
-        case 409: return "Conflict";
-        case 413: return "Content Too Large";
-        case 429: return "Too Many Requests";
-        case 431: return "Request Header Fields Too Large";
-        case 501: return "Not Implemented";
-        case 502: return "Bad Gateway";
-        case 503: return "Service Unavailable";
-        default: return "Unknown";
-    }
-}
-
 }    // namespace
 
 bool parse_time_left(std::string_view text, Duration& left) {
@@ -197,15 +187,6 @@
     return parser.header(buffer, kId);
 }
 
-Rejection rejection_of(http::Fault fault) {
-    switch (fault) {
-        case http::Fault::HeadTooLarge: return {431, "headers too large"};
-        case http::Fault::BodyTooLarge: return {413, "body over 64 MiB"};
-        case http::Fault::Unsupported: return {501, "transfer coding not supported"};
-        default: return {400, "malformed request"};
-    }
-}
-
 std::string write_request(const Payload& request, Duration left) {
     const std::string head = fmt::format("{}{}: {}u\r\n\r\n", request.head, kTimeLeft, left.count());
     if (!request.upload) return head + request.body;
@@ -245,30 +226,70 @@
 
 Payload answer_of(const http::Parser& parser, const http::Buffer& buffer, bool with_body) {
     Payload answer;
+    answer.status = parser.status();
     if (const std::string_view type = parser.header(buffer, kType); !type.empty())
         answer.head = fmt::format("{}: {}\r\n", kType, type);
     if (with_body) answer.body = parser.body(buffer);
     return answer;
 }
 
-std::string write_answer_head(int status, std::string_view headers, Body body, std::uint64_t length,
-                              bool keep_alive) {
-    const std::string framing = body == Body::Stated    ? fmt::format("Content-Length: {}\r\n", length)
-                                : body == Body::Chunked ? "Transfer-Encoding: chunked\r\n"
-                                                        : "";
-    return fmt::format("HTTP/1.1 {} {}\r\n{}{}{}\r\n", status, reason_of(status), headers, framing,
-                       keep_alive ? "" : "Connection: close\r\n");
+std::string retry_after(Duration wait) {
+    if (wait <= Duration(0)) return {};
+    return fmt::format("Retry-After: {:.3f}\r\n", std::chrono::duration<double>(wait).count());
 }
 
-std::string write_chunk(std::string_view bytes) { return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes); }
+// ---- as the parts on sockets ask for it ----
 
-std::string write_answer(int status, std::string_view headers, std::string_view body, bool keep_alive) {
-    return write_answer_head(status, headers, Body::Stated, body.size(), keep_alive).append(body);
+bool PlatformDoor::asks_ready(const http::Parser& parser, const http::Buffer& buffer) const {
+    return shaletray::asks_ready(parser, buffer);
 }
 
-std::string retry_after(Duration wait) {
-    if (wait <= Duration(0)) return {};
-    return fmt::format("Retry-After: {:.3f}\r\n", std::chrono::duration<double>(wait).count());
+std::variant<Taken, Rejection> PlatformDoor::read(const http::Parser& parser, const http::Buffer& buffer,
+                                                  TimePoint) {
+    auto request = read_request(parser, buffer, config_);
+    if (const auto* rejection = std::get_if<Rejection>(&request)) return *rejection;
+    return Taken{std::get<Arrival>(std::move(request)), std::string(correlation_id(parser, buffer))};
+}
+
+Rejection PlatformDoor::faulty(http::Fault fault) const {
+    if (fault == http::Fault::BodyTooLarge) return {413, "body over 64 MiB"};
+    return rejection_of(fault);
+}
+
+http::Limits PlatformDoor::limits() const { return {kLongestHead, kLongestBody, kMostHeaders}; }
+Duration PlatformDoor::header_timeout() const { return kToAsk; }
+Duration PlatformDoor::idle_timeout(std::uint64_t asked) const { return asked == 1 ? kIdleOnce : kIdle; }
+Final PlatformDoor::refused(Refusal, Duration wait) const { return {kRefused, retry_after(wait)}; }
+Final PlatformDoor::failed(Failure) const { return {kFailed}; }
+
+std::string PlatformDialect::write_request(const Payload& request, HostId, Duration left) const {
+    return shaletray::write_request(request, left);
+}
+
+std::string PlatformDialect::write_probe(HostId, std::string_view address) const {
+    return shaletray::write_probe(address);
+}
+
+Outcome PlatformDialect::outcome_of(const Asked&, const http::Parser& parser,
+                                    const http::Buffer& buffer) const {
+    return shaletray::outcome_of(parser, buffer);
+}
+
+bool PlatformDialect::good(const Asked&, const http::Parser& parser, const http::Buffer&) const {
+    return parser.status() == kServed;
+}
+
+LoadReport PlatformDialect::report_of(const http::Parser& parser, const http::Buffer& buffer) const {
+    return shaletray::report_of(parser, buffer);
+}
+
+Payload PlatformDialect::answer_of(const http::Parser& parser, const http::Buffer& buffer,
+                                   bool with_body) const {
+    return shaletray::answer_of(parser, buffer, with_body);
+}
+
+double PlatformDialect::settled_units_of(const http::Parser& parser, const http::Buffer& buffer) const {
+    return shaletray::settled_units_of(parser, buffer);
 }
 
 }    // namespace shaletray
--- a/src/platform/messages.h
+++ b/src/platform/messages.h
@@ -6,21 +6,17 @@
 #include <variant>
 
 #include "core/engine.h"
+#include "http/answer.h"
 #include "http/message.h"
+#include "net/dialect.h"
+#include "net/door.h"
 #include "platform/config.h"
 
 namespace shaletray {
 
-// A request that is answered here, without the module. The connection is closed afterwards.
-struct Rejection {
-    int status = 400;
-    std::string_view reason;
-};
-
 // Of a request whose body is still coming the body is left to the caller, as its `upload`.
 std::variant<Arrival, Rejection> read_request(const http::Parser& parser, const http::Buffer& buffer,
                                               const Config& config);
-Rejection rejection_of(http::Fault fault);
 std::string_view correlation_id(const http::Parser& parser, const http::Buffer& buffer);
 bool asks_ready(const http::Parser& parser, const http::Buffer& buffer);
 
@@ -43,14 +39,37 @@
 double settled_units_of(const http::Parser& parser, const http::Buffer& buffer);
 
 // To a client.
-constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr int kServed = 200, kRefused = 429, kFailed = 502, kNotReady = 503;
-// The head of an answer whose body follows in pieces: of a stated length, or in chunks, or until the end.
-enum class Body { Stated, Chunked, UntilClose };
-std::string write_answer_head(int status, std::string_view headers, Body body, std::uint64_t length,
-                              bool keep_alive);
-std::string write_chunk(std::string_view bytes);    // empty: the last one
-std::string write_answer(int status, std::string_view headers, std::string_view body, bool keep_alive);
 std::string retry_after(Duration wait);
 
+// The above, as the parts on sockets ask for it.
+class PlatformDoor : public Door {
+public:
+    explicit PlatformDoor(const Config& config) : config_(config) {}
+
+    bool asks_ready(const http::Parser& parser, const http::Buffer& buffer) const override;
+    std::variant<Taken, Rejection> read(const http::Parser& parser, const http::Buffer& buffer,
+                                        TimePoint now) override;
+    Rejection faulty(http::Fault fault) const override;
+    http::Limits limits() const override;
+    Duration header_timeout() const override;
+    Duration idle_timeout(std::uint64_t asked) const override;
+    Final refused(Refusal why, Duration wait) const override;
+    Final failed(Failure why) const override;
+
+private:
+    const Config& config_;
+};
+
+class PlatformDialect : public Dialect {
+public:
+    std::string write_request(const Payload& request, HostId host, Duration left) const override;
+    std::string write_probe(HostId host, std::string_view address) const override;
+    Outcome outcome_of(const Asked& asked, const http::Parser& parser,
+                       const http::Buffer& buffer) const override;
+    bool good(const Asked& asked, const http::Parser& parser, const http::Buffer& buffer) const override;
+    LoadReport report_of(const http::Parser& parser, const http::Buffer& buffer) const override;
+    Payload answer_of(const http::Parser& parser, const http::Buffer& buffer, bool with_body) const override;
+    double settled_units_of(const http::Parser& parser, const http::Buffer& buffer) const override;
+};
+
 }    // namespace shaletray
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -106,9 +106,9 @@
     const Poco::Net::ServerSocket socket = Listener::listen(config_.listen);
     const std::string place = handover::place_for(config_.listen);
     const std::string inherited = handover::ask_predecessor(place);
-    pool_ = std::make_unique<ServerPool>(
-        engine_, hosts_, counters_, reactor_,
-        ServerPool::Limits{share_of(config_, 1.0 - kClientShare), config_.dial_timeout, idle});
+    budget_ = std::make_unique<ConnectionBudget>(share_of(config_, 1.0 - kClientShare));
+    pool_ = std::make_unique<ServerPool>(engine_, hosts_, dialect_, *budget_, counters_, reactor_,
+                                         ServerPool::Limits{config_.dial_timeout, idle});
     peers_ = std::make_unique<PeerSocket>(engine_, config_, counters_, reactor_);
     watch_ = std::make_unique<DiscoveryWatch>(engine_, hosts_, config_, counters_, reactor_, [this] {
         listed_ = listed_ || hosts_.size() > 0;
@@ -132,8 +132,9 @@
         }
     }
     if (settings.plans) begin_plans(*settings.plans);
-    listener_ = std::make_unique<Listener>(engine_, config_, counters_, reactor_, socket,
-                                           share_of(config_, kClientShare), [this] { return listed(); });
+    listener_ = std::make_unique<Listener>(intake_, door_, ClientRoom{config_.sockets, config_.memory_mb},
+                                           counters_, reactor_, socket, share_of(config_, kClientShare),
+                                           [this] { return listed(); });
     if (!config_.admin.empty()) {
         Poco::Net::ServerSocket admin;
         admin.bind(Poco::Net::SocketAddress(config_.admin), true, false);
--- a/src/service/service.h
+++ b/src/service/service.h
@@ -19,6 +19,7 @@
 #include "net/talk_server.h"
 #include "operations/router.h"
 #include "plans/spread.h"
+#include "platform/messages.h"
 #include "service/book_file.h"
 #include "settings/operator_settings.h"
 
@@ -99,6 +100,10 @@
     std::unique_ptr<journal::Tallies> tallies_;
     std::unique_ptr<UseLog> use_log_;
     Engine engine_;
+    EngineIntake intake_{engine_};
+    PlatformDoor door_{config_};
+    PlatformDialect dialect_;
+    std::unique_ptr<ConnectionBudget> budget_;
     std::unique_ptr<ServerPool> pool_;
     std::unique_ptr<PeerSocket> peers_;
     std::unique_ptr<Listener> listener_;
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -20,11 +20,11 @@
     int served_count = 0, refused_count = 0, failed_count = 0;
     Duration advice{0};
     void served(Payload&&) override { ++served_count; }
-    void refused(Duration retry_after) override {
+    void refused(Duration retry_after, Refusal) override {
         ++refused_count;
         advice = retry_after;
     }
-    void failed() override { ++failed_count; }
+    void failed(Failure, Payload&&) override { ++failed_count; }
     int answers() const { return served_count + refused_count + failed_count; }
 };
 
