--- a/src/tide/tide.h
+++ b/src/tide/tide.h
@@ -1,15 +1,25 @@
 // Quotas over all pilots: a store of free units for each tenant, refilled by this pilot's share of the rate,
 // and balanced with up to three nearest pilots on each side by messages that move half of a difference. Pure.
 //
-// The sum over all pilots stays under the quota whatever joins, ends, is cut off or forgets: a share is the
-// rate over the largest number of pilots that anybody heard of counts; a life begins with nothing and refills
-// only while it is confirmed; a gift is taken here before it is given there.
+// The sum over all pilots stays under the quota whatever joins, ends, is cut off or forgets (why: store.h):
+// - A share is the rate over peers().divisor, which the caller takes as the largest number of pilots that
+//   anybody heard of divides by.
+// - A life begins with nothing and refills only while it is confirmed. What a tenant refills goes by that
+//   time alone, whether a store is kept or not: one met for the first time, or again after its full store was
+//   forgotten, has as much as if its store had always been there. So has a tenant that comes with a later
+//   configuration: no other pilot counts on this one's share of it, and what an earlier life here granted
+//   was granted before this life's first moment. A tenant that left and comes back, or was without a limit,
+//   begins with nothing.
+// - At refill_until all stores fall to nothing: from some time on the others count on this share. When it is
+//   confirmed again, they refill from there.
+// - What is given is taken here before it is sent, and applied once at most.
+// - Limits: a lower one takes hold at once, a higher one by refill. A larger divisor cuts the stores at once,
+//   a smaller one lets them refill to more.
 #pragma once
 
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,7 +44,8 @@
     std::uint64_t life = 0, seed = 0;
     Duration window = std::chrono::seconds(5);
     double overshoot = 0.1, slack = 20.0;    // what the rule allows on top; half of it is used at most
-    Duration every = std::chrono::milliseconds(250);    // a neighbour gets one message in this time at most
+    Duration every = std::chrono::milliseconds(250);    // a neighbour gets one message in this time at most,
+    Duration rush = std::chrono::milliseconds(20);      // or in this, where a request waits for units
 };
 enum class Ruling { Granted, Wait, Refused };
 struct Actions {
@@ -44,47 +55,38 @@
     std::vector<Send> sends;
     std::vector<std::string> woken;    // tenants for whom units came in: ask again for those that wait
 };
+struct Counts {
+    std::uint64_t granted = 0, waited = 0, refused = 0;    // answers of ask()
+    std::uint64_t sent = 0, sent_bytes = 0, heard = 0;     // messages
+    std::uint64_t kept_out = 0;    // messages that were spoilt, old, or of no neighbour; entries of no tenant
+    std::uint64_t late_gifts = 0;                     // not taken: too old, or meant for another life
+    double given = 0.0, taken = 0.0, passed = 0.0;    // units moved; passed: of those taken, ran out unused
+    std::size_t stores = 0;
+};
 
 class Tide {
 public:
     Tide(Settings settings, TimePoint now);
+    Tide(const Tide&);    // for tests that explore
     ~Tide();
     void quotas(const std::map<std::string, Quota>& by_tenant, TimePoint now);    // a new configuration
     void peers(Peers peers, TimePoint now);
     // One unit for a request of this tenant. Wait: units may come in within `patience` (see woken); Refused
-    // otherwise. `retry_after` is set where it is not Granted.
+    // otherwise. `retry_after` is set where it is not Granted. A tenant that is not configured has no limit.
+    // A request that waited and asks again is taken out of waits() before. next() may be due at once after
+    // it.
     Ruling ask(const std::string& tenant, Duration patience, TimePoint now, Duration& retry_after);
     void waits(const std::string& tenant, int requests);         // +1, -1: how many wait here now
     void give_back(const std::string& tenant, TimePoint now);    // its request never ran
     void heard(const std::string& from, std::string_view bytes, TimePoint now, Actions& out);
     void tick(TimePoint now, Actions& out);
-    TimePoint next() const;
-    double free(const std::string& tenant, TimePoint now) const;
+    TimePoint next() const;                                         // TimePoint::max(): nothing to do
+    double free(const std::string& tenant, TimePoint now) const;    // units that could be granted now
+    Counts counts() const;
 
 private:
     class Impl;
     std::unique_ptr<Impl> impl_;
 };
 
-// Repeats to one service, counted over all pilots: a ratio of what this pilot itself sent first, and this
-// pilot's part of the slack, which begins empty with each life.
-class RepeatBudget {
-public:
-    struct Settings {
-        double ratio = 0.2;
-        Duration window = std::chrono::seconds(10);
-        double slack = 0.0;    // of all pilots together
-    };
-    RepeatBudget(Settings settings, TimePoint now);
-    void pilots(std::uint32_t divisor, TimePoint now);
-    void first(TimePoint now);
-    bool repeat(TimePoint now);    // takes one; false: none is left
-
-private:
-    Settings settings_;
-    double tokens_ = 0.0;
-    std::uint32_t divisor_ = 0;
-    TimePoint seen_{};
-};
-
 }    // namespace shaletray::tide
