Make room for an update by what came, not by what its head claims

Under the sanitizers the damage test took nine minutes and then died: a turned bit in the head of a message had up to 128 MB allocated for it.

--- a/src/chart/update.cpp
+++ b/src/chart/update.cpp
@@ -214,6 +214,7 @@
 
 std::string packed(::capnp::MessageBuilder& message) {
     std::string bytes;
+    bytes.reserve(::capnp::computeSerializedSizeInWords(message) * sizeof(::capnp::word));
     IntoText out(bytes);
     ::capnp::writePackedMessage(out, message);
     return bytes;
@@ -263,10 +264,14 @@
 
 leaf::result<Chart> read_update(const Chart& held, std::string_view bytes) {
     try {
-        kj::ArrayInputStream in(
-            kj::arrayPtr(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size()));
+        const auto packed = kj::arrayPtr(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size());
+        const std::size_t words = ::capnp::computeUnpackedSizeInWords(packed);
+        if (words > kMostWords) throw Damaged{"is larger than any chart"};
+        kj::ArrayInputStream in(packed);
+        // What the message claims to hold is made room for only where so much has come. All is read once;
+        // twice as much leaves room for how it is counted.
         ::capnp::ReaderOptions options;
-        options.traversalLimitInWords = kMostWords;
+        options.traversalLimitInWords = 2 * words;
         ::capnp::PackedMessageReader message(in, options);
         return applied(held, message.getRoot<form::Update>(), bytes.size());
     } catch (const kj::Exception& damage) {
