--- a/src/convoy/convoy.capnp
+++ b/src/convoy/convoy.capnp
@@ -1,6 +1,7 @@
 @0xc325fb70143f11ae;
-# What members of the convoy say to each other; each datagram holds one Packet, packed. New fields get new
-# numbers, and what they mean when they are missing is what the older version did.
+# What members of the convoy say to each other; each datagram is a sum of what follows (XXH32,
+# little endian) and one Packet, packed. New fields get new numbers, and what they mean when they are missing
+# is what the older version did.
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("shaletray::convoy::wire");
@@ -38,13 +39,15 @@
   number @7 :UInt32;         # an answer repeats it
   life @8 :UInt64;           # of the sender, as is what follows
   version @9 :UInt32;
-  beat @10 :UInt32;          # grows with each of its rounds
+  beat @10 :UInt8;           # 1 to 255, the next one with each of its rounds
   digest @11 :UInt64;        # of all members, lives and versions it knows
   about @12 :Text;           # PingFor, Answer: the address of a third
   entries @13 :List(Entry);
   places @14 :List(Place);
-  hashes @15 :List(UInt32);  # of address and life
-  beats @16 :List(UInt32);   # theirs, as last known
+  row @15 :Data;             # the last beats known, 0: none lately; of all that make up the sum, in the order
+                             # of their addresses, for those with the same sum
+  hashes @16 :List(UInt32);  # for the others, of some: of address and life, and
+  beats @20 :Data;           # their beats
   buckets @17 :List(UInt64); # Ask: digests by parts; empty: everything is wanted
   after @18 :Text;           # Ask, Page: from which address on
   next @19 :Text;            # Page: up to which
--- a/src/convoy/convoy.cpp
+++ b/src/convoy/convoy.cpp
@@ -31,6 +31,7 @@
 constexpr std::size_t kEagerPeers = 4, kEagerPeersLarge = 3;
 constexpr Duration kEagerDelay = 10ms, kPace = 100ms, kPaceLarge = 250ms;
 constexpr Duration kStill = 1s;    // without a change here, after which another's sum should be the same
+constexpr int kAgreed = 6;
 constexpr Duration kShortestSync = 500ms, kLongestSync = 16s;
 constexpr int kSeedRounds = 8;         // between looks at a seed that is not known to run
 constexpr int kLighthouseTries = 3;    // of each seed, before a lighthouse goes on without it
@@ -53,6 +54,7 @@
         self_.address = s_.me.address;
         self_.member = &me_;
         self_.place = Roll::place(s_.me.address);
+        self_.beat = 1;
         sum_self();
         number_ = static_cast<std::uint32_t>(random_());
         round_at_ = now + Duration(static_cast<Duration::rep>(
@@ -80,7 +82,7 @@
 
     void seen(const std::string& address, std::uint64_t life, TimePoint now) {
         Record* const r = roll_.find(address);
-        if (left_ || r == nullptr || r->ended || r->member->facts.life != life) return;
+        if (left_ || r == nullptr || r->member->ended || r->member->facts.life != life) return;
         evidence(*r, now, changed_);
     }
 
@@ -142,7 +144,7 @@
         ++self_.version;
         me_.state = State::Gone;
         Packet p = head(Kind::Told);
-        self_.ended = true;
+        me_.ended = true;
         self_.whole = false;
         p.entries.push_back(self_.entry());
         const std::string bytes = encode(p);
@@ -184,8 +186,7 @@
             if (now - s->sent < kPatience) continue;
             if (now - s->sent > within + kPatience && asked >= kFewSamples) break;
             ++asked;
-            if (s->record->member->heard >= s->sent && now - s->record->member->heard <= within + kPatience)
-                ++answered;
+            if (s->record->member->heard >= s->sent) ++answered;
         }
         if (asked == 0) return 0.0;
         for (const Record* r : roll_.lost())
@@ -327,7 +328,7 @@
     }
 
     std::size_t size(const Packet& p) const {
-        std::size_t size = 100 + p.beats.size() * 8 + p.buckets.size() * 9;
+        std::size_t size = 100 + p.beats.size() * 6 + p.row.size() * 9 / 8 + p.buckets.size() * 9;
         for (const Entry& e : p.entries) size += entry_size(e);
         return size;
     }
@@ -344,7 +345,7 @@
             const std::size_t more = entry_size(e);
             if (size + more > s_.longest) break;
             news_.pop_front();
-            if (r->member->state == State::Gone && !r->ended) {    // forgotten meanwhile: not said
+            if (r->member->state == State::Gone && !r->member->ended) {    // forgotten meanwhile: not said
                 r->news = false;
                 continue;
             }
@@ -361,19 +362,67 @@
         for (Record* r : again) insert(r);
     }
 
-    // Beats of others as last known, in turn, without those that the receiver has.
-    void add_beats(Packet& p, const std::vector<const Record*>& known, TimePoint now) {
+    // All that is not Gone, this process included, in the order of the addresses.
+    template <typename F>
+    void in_order(const std::string& from, F&& f) {
+        bool self = from < self_.address, on = true;
+        roll_.walk(from, [&](Record& r) {
+            if (self && self_.address < r.address) {
+                self = false;
+                on = f(self_);
+            }
+            return on = on && (r.member->state == State::Gone || f(r));
+        });
+        if (self && on) f(self_);
+    }
+
+    std::uint8_t beat_of(const Record& r, TimePoint now) const {
+        if (&r == &self_) return self_.beat;
+        return now - r.beat_at <= s_.doubt_after ? r.beat : 0;
+    }
+
+    // Beats as last known: a row of all of them, which a receiver with another sum cannot read.
+    void add_row(Packet& p, TimePoint now) {
+        if (large()) return;
+        p.row.reserve(roll_.here() + 1);
+        in_order("", [&](const Record& r) {
+            p.row.push_back(beat_of(r, now));
+            return true;
+        });
+    }
+
+    // For a receiver with another sum: those of some, in turn, by their names.
+    void add_beats(Packet& p, TimePoint now) {
         if (large()) return;
         for (std::size_t i = 0; i < roll_.size() && p.beats.size() < kBeats; ++i) {
             beat_at_ = (beat_at_ + 1) % roll_.size();
             const Record& r = *roll_.at(beat_at_);
-            if (!r.beat_known || r.member->state == State::Gone || now - r.member->heard > s_.doubt_after ||
-                std::find(known.begin(), known.end(), &r) != known.end())
-                continue;
+            if (r.member->state == State::Gone || beat_of(r, now) == 0) continue;
             p.beats.emplace_back(r.hash, r.beat);
         }
     }
 
+    // A beat as told by another one, where that proves anything: it is later than the one known.
+    void take_beat(Record& r, std::uint8_t beat, TimePoint now, Actions& out) {
+        if (beat == 0 || r.member->ended || &r == &self_) return;
+        const int later = r.beat == 0 ? 0 : (beat - r.beat + 255) % 255;
+        if (r.beat != 0 && (later == 0 || later > 127)) return;
+        if (r.beat != 0) evidence(r, now, out.changed);
+        r.beat = beat;
+        r.beat_at = now;
+    }
+
+    void take_beats(const Packet& p, TimePoint now, Actions& out) {
+        for (const auto& [hash, beat] : p.beats)
+            if (Record* const r = roll_.by_hash(hash); r != nullptr) take_beat(*r, beat, now, out);
+        if (p.row.empty() || p.digest != digest() || p.row.size() != roll_.here() + 1) return;
+        std::size_t at = 0;
+        in_order("", [&](Record& r) {
+            take_beat(r, p.row[at], now, out);
+            return ++at < p.row.size();
+        });
+    }
+
     std::vector<Record*> draw_alive(std::size_t count, const Record* but) {
         std::vector<Record*> drawn;
         if (roll_.size() == 0) return drawn;
@@ -402,7 +451,7 @@
         bool lost = false;
         std::uint32_t lost_version = 0;
         if (r != nullptr) {
-            if (r->ended && p.life == r->member->facts.life) return;    // said before it left
+            if (r->member->ended && p.life == r->member->facts.life) return;    // said before it left
             if (p.life < r->member->facts.life) corrections.push_back(r->whole_entry());
             lost = r->member->state != State::Alive && p.life == r->member->facts.life;
             lost_version = r->version;
@@ -414,12 +463,12 @@
         const bool fresh = woke_ == TimePoint{} || now - woke_ > kDrain ||
                            (p.kind == Kind::Answer && static_cast<std::int32_t>(p.number - woke_number_) > 0);
         bool who = r == nullptr && !roll_.full();
-        if (r != nullptr && p.life >= r->member->facts.life && !r->ended) {
+        if (r != nullptr && p.life >= r->member->facts.life && !r->member->ended) {
             if (p.life > r->member->facts.life || p.version > r->version) who = true;
             if (p.life == r->member->facts.life && p.about.empty()) {
-                r->beat = r->beat_known ? std::max(r->beat, p.beat) : p.beat;
-                r->beat_known = true;
                 if (fresh) {
+                    r->beat = p.beat;
+                    r->beat_at = now;
                     evidence(*r, now, out.changed);
                     if (lost && r->version == lost_version) {
                         Entry e = r->entry();    // so that it says anew that it runs
@@ -429,21 +478,17 @@
                 }
             }
         }
-        std::vector<const Record*> known;
-        for (const auto& [hash, beat] : p.beats) {
-            Record* const about = roll_.by_hash(hash);
-            if (about == nullptr || about->ended) continue;
-            if (about->beat_known && beat > about->beat && fresh) evidence(*about, now, out.changed);
-            if (!about->beat_known || beat > about->beat) about->beat = beat;
-            about->beat_known = true;
-            if (about->beat == beat) known.push_back(about);
-        }
+        if (fresh) take_beats(p, now, out);
         switch (p.kind) {
             case Kind::Ping: {
                 Packet answer = head(Kind::Answer, p.number);
                 reply(answer, who, p.who, corrections);
                 add_news(answer, 1, limit());
-                add_beats(answer, known, now);
+                if (p.digest == digest()) {
+                    add_row(answer, now);
+                } else {
+                    add_beats(answer, now);
+                }
                 send(from, answer, out);
                 compare(from, p, now, out);
                 return;
@@ -504,12 +549,12 @@
             roll_.renew(*r, facts, e.version, e.state, now);
             return changed(*r, true, told, now, out);
         }
-        if (r->ended) {
+        if (r->member->ended) {
             if (e.state != State::Gone) corrections.push_back(r->entry());
             return false;
         }
         if (e.state == State::Gone) {
-            r->ended = true;
+            r->member->ended = true;
             r->version = std::max(r->version, e.version);
             roll_.become(*r, State::Gone, now);
             return changed(*r, false, told, now, out);
@@ -528,7 +573,11 @@
             }
             return changed(*r, !e.brief, told, now, out);
         }
-        if (e.state == State::Doubted && m.state == State::Alive && unheard) {
+        if (e.state == State::Doubted && m.state == State::Alive) {
+            if (!unheard) {    // heard here since, or not asked yet
+                try_it(*r, now, out);
+                return false;
+            }
             roll_.become(*r, State::Doubted, now);
             return changed(*r, false, told, now, out);
         }
@@ -561,7 +610,7 @@
     void evidence(Record& r, TimePoint now, std::vector<std::string>& changed) {
         r.member->heard = std::max(r.member->heard, now);
         r.probed = false;
-        if (r.member->state == State::Alive || r.ended) return;
+        if (r.member->state == State::Alive || r.member->ended) return;
         roll_.become(r, State::Alive, now);
         mark(r.address, changed);
         still_ = now;
@@ -572,7 +621,7 @@
     void answered(const std::string& from, const Packet& p, TimePoint now, Actions& out) {
         if (!p.about.empty()) {
             Record* const r = roll_.find(p.about);
-            if (r == nullptr || r->ended) return;
+            if (r == nullptr || r->member->ended) return;
             const bool ours = std::any_of(probes_.begin(), probes_.end(), [&](const Probe& probe) {
                 return probe.record == r && probe.number == p.number;
             });
@@ -585,7 +634,7 @@
             return relay.number == p.number && relay.about == from;
         });
         if (it == relays_.end()) return;
-        if (const Record* const r = roll_.find(from); r != nullptr && r->beat_known) {
+        if (const Record* const r = roll_.find(from); r != nullptr) {
             Packet answer = head(Kind::Answer, it->theirs);
             answer.about = from;
             answer.beats.emplace_back(r->hash, r->beat);
@@ -596,7 +645,7 @@
 
     void relay(const std::string& from, const Packet& p, Actions& out) {
         const Record* const r = roll_.find(p.about);
-        if (r == nullptr || r->ended) return;
+        if (r == nullptr || r->member->ended) return;
         if (relays_.size() >= kMostRelays) relays_.pop_front();
         relays_.push_back({++number_, p.number, p.about, from});
         Packet ping = head(Kind::Ping, number_);
@@ -607,7 +656,7 @@
         Packet p = head(Kind::Ping, number);
         if (as_lost) p.entries.push_back(r.entry());    // it says anew that it runs where it does
         add_news(p, 1, limit());
-        add_beats(p, {}, now);
+        add_row(p, now);
         send(r.address, p, out);
     }
 
@@ -676,26 +725,31 @@
         return chosen;
     }
 
+    // Pings it, and more and more until it is heard or Doubted.
+    bool try_it(Record& r, TimePoint now, Actions& out) {
+        if (r.probed || probes_.size() >= kMostProbes) return false;
+        r.probed = true;
+        probes_.push_back({&r, now, now + kPatience, 1, ++number_});
+        ping(r, number_, false, now, out);
+        return true;
+    }
+
     void round(TimePoint now, Actions& out) {
         const auto jitter = static_cast<Duration::rep>(
             draw(static_cast<std::size_t>(std::max<Duration::rep>(1, s_.every.count() / 8))));
         round_at_ = now + s_.every - Duration(s_.every.count() / 16) + Duration(jitter);
-        ++self_.beat;
+        self_.beat = static_cast<std::uint8_t>(self_.beat % 255 + 1);
         ++rounds_;
         forget(now, out);
         for (Record* r : targets()) {
-            if (probes_.size() >= kMostProbes) break;
-            probes_.push_back({r, now, now + kPatience, 1, ++number_});
-            r->probed = true;
-            if (r->member->facts.role == Role::Pilot) {
-                samples_.push_back({r, now});
-                if (samples_.size() > kMostSamples) samples_.pop_front();
-            }
-            ping(*r, number_, false, now, out);
+            if (!try_it(*r, now, out)) break;
+            if (r->member->facts.role != Role::Pilot) continue;
+            samples_.push_back({r, now});
+            if (samples_.size() > kMostSamples) samples_.pop_front();
         }
         std::vector<Record*> lost;
         for (Record* r : roll_.lost())
-            if (!r->ended) lost.push_back(r);
+            if (!r->member->ended) lost.push_back(r);
         if (!lost.empty()) {
             Record& r = *lost[draw(lost.size())];
             ping(r, ++number_, true, now, out);
@@ -757,11 +811,13 @@
     void compare(const std::string& from, const Packet& p, TimePoint now, Actions& out) {
         if (p.digest == digest()) {
             sync_now_ = false;
+            if (++agreed_ >= kAgreed) settled();
             return;
         }
+        agreed_ = 0;
         const bool fewer = p.members > roll_.here() + roll_.here() / 16 + 2;
-        if (pull_ || !joined_ || now < sync_at_) return;
-        if (!sync_now_ && !fewer && now - still_ < kStill && now - synced_ < 5 * kStill) return;
+        if (pull_ || !joined_ || (now < sync_at_ && !sync_now_)) return;
+        if (!sync_now_ && !fewer && now - still_ < kStill && now - synced_ < 2 * kStill) return;
         sync_now_ = false;
         Pull pull;
         pull.from = from;
@@ -772,6 +828,17 @@
         ask(now, out);
     }
 
+    // All that were met lately know the same lives and versions: those are no news any more.
+    void settled() {
+        agreed_ = 0;
+        sync_wait_ = kShortestSync;
+        std::erase_if(news_, [&](Record* r) {
+            if (r->told < eager() || r->member->state == State::Doubted) return false;
+            r->news = false;
+            return true;
+        });
+    }
+
     std::vector<std::uint64_t> buckets(std::size_t count) const {
         std::vector<std::uint64_t> sums = roll_.buckets(count);
         sums[Roll::bucket(self_.place, count)] ^= self_.sum;
@@ -794,7 +861,6 @@
             for (std::size_t i = 0; i < mine.size(); ++i) differs.push_back(mine[i] != asked.buckets[i]);
         }
         const auto wanted = [&](const Record& r) {
-            if (r.member->state == State::Gone) return false;
             if (r.member->state == State::Doubted && r.doubted <= woke_ && woke_ != TimePoint{}) return false;
             return differs.empty() || differs[Roll::bucket(r.place, differs.size())];
         };
@@ -804,27 +870,14 @@
             p.after = after;
             std::size_t size = this->size(p) + 60;
             p.last = true;
-            auto it = roll_.members().upper_bound(after);
-            bool self = after < self_.address && wanted(self_);
-            while (it != roll_.members().end() || self) {
-                const Record* r = &self_;
-                const bool mine = self && (it == roll_.members().end() || self_.address < it->first);
-                if (!mine) r = roll_.find(it->first);
-                if (mine || wanted(*r)) {
-                    Entry e = r->whole_entry();
-                    size += entry_size(e);
-                    if (size > s_.longest && !p.entries.empty()) {
-                        p.last = false;
-                        break;
-                    }
-                    p.entries.push_back(std::move(e));
-                }
-                if (mine) {
-                    self = false;
-                } else {
-                    ++it;
-                }
-            }
+            in_order(after, [&](const Record& r) {
+                if (!wanted(r)) return true;
+                Entry e = r.whole_entry();
+                size += entry_size(e);
+                if (size > s_.longest && !p.entries.empty()) return p.last = false;
+                p.entries.push_back(std::move(e));
+                return true;
+            });
             p.more = i == kPages - 1;
             if (!p.last) p.next = p.entries.back().facts.address;
             std::string bytes = encode(p);
@@ -965,6 +1018,7 @@
     std::optional<Pull> pull_;
     TimePoint still_{}, synced_{}, sync_at_{};    // the last change here, the last comparison, the next
     Duration sync_wait_ = kShortestSync;
+    int agreed_ = 0;    // others in a row that know the same
     bool sync_now_ = false;
 
     std::vector<Seed> seeds_;
--- a/src/convoy/convoy.h
+++ b/src/convoy/convoy.h
@@ -38,6 +38,7 @@
 struct Member {
     Facts facts;
     State state = State::Alive;
+    bool ended = false;     // Gone by its own word; else Gone is only unheard, and may come back
     TimePoint heard{};      // when anything proved that this life ran; zero: nothing has yet
     TimePoint changed{};    // its state
 };
@@ -91,10 +92,11 @@
     const Facts& me() const;
     // Of the other pilots that are not Gone: the part heard within `within`. 1 where there are none. Below
     // 128 members it is counted: heard are those that sent anything, those whose beat another one told is
-    // later than the one known, and seen(). With up to 32 members each is heard every second or so where all
-    // is well; with more it takes up to three. From 128 on it is estimated: of the pilots drawn and pinged in
+    // later than the one known, and seen(). Where all is well each is heard within a second with up to 32
+    // members, and within two with more. From 128 on it is estimated: of the pilots drawn and pinged in
     // this time (about four a second; the last four at least) the part that was heard since, less the
-    // Doubted. A process that just started counts nobody as heard that it only was told of.
+    // Doubted. A process that just started counts nobody as heard that it only was told of. Who is cut
+    // off for longer than `forget_after` has forgotten the others and counts none: see Member::ended.
     double heard_part(TimePoint now, Duration within) const;
     const Tallies& tallies() const;
     bool joined() const;    // a lighthouse has answered with all that it knows, or none is to be asked
--- a/src/convoy/packet.cpp
+++ b/src/convoy/packet.cpp
@@ -4,6 +4,7 @@
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 #include <kj/io.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <charconv>
@@ -122,11 +123,12 @@
     const auto entries = in.getEntries();
     const auto places = in.getPlaces();
     const auto hashes = in.getHashes();
+    const auto row = in.getRow();
     const auto beats = in.getBeats();
     const auto buckets = in.getBuckets();
     KJ_REQUIRE(entries.size() <= kMostEntries && hashes.size() <= kMostBeats &&
-                   hashes.size() == beats.size() && buckets.size() <= kMostBuckets &&
-                   (buckets.size() & (buckets.size() - 1)) == 0,
+                   hashes.size() == beats.size() && row.size() <= kMostBeats &&
+                   buckets.size() <= kMostBuckets && (buckets.size() & (buckets.size() - 1)) == 0,
                "a list is too long");
     p.entries.reserve(entries.size());
     for (const auto entry : entries) {
@@ -134,6 +136,7 @@
         if (entry.getRole() > static_cast<std::uint8_t>(Role::Lighthouse)) continue;
         p.entries.push_back(read(entry, places));
     }
+    p.row.assign(row.begin(), row.end());
     for (unsigned i = 0; i < hashes.size(); ++i) p.beats.emplace_back(hashes[i], beats[i]);
     for (const auto bucket : buckets) p.buckets.push_back(bucket);
     return p;
@@ -141,6 +144,11 @@
 
 }    // namespace
 
+void seal(std::string& bytes) {
+    std::uint32_t sum = XXH32(bytes.data() + kSumBytes, bytes.size() - kSumBytes, 0);
+    for (std::size_t i = 0; i < kSumBytes; ++i, sum >>= 8) bytes[i] = static_cast<char>(sum & 0xff);
+}
+
 std::size_t entry_size(const Entry& e) {
     if (e.brief) return 40 + (e.facts.disk != 0 ? 9 : 0);
     return 60 + e.facts.name.size() + (e.facts.control.empty() ? 0 : 12 + e.facts.control.size()) +
@@ -185,13 +193,14 @@
         auto list = out.initEntries(static_cast<unsigned>(p.entries.size()));
         for (unsigned i = 0; i < p.entries.size(); ++i) write(p.entries[i], list[i], places);
     }
+    if (!p.row.empty()) out.setRow(kj::arrayPtr(p.row.data(), p.row.size()));
     if (!p.beats.empty()) {
         const auto count = static_cast<unsigned>(p.beats.size());
         auto hashes = out.initHashes(count);
         auto beats = out.initBeats(count);
         for (unsigned i = 0; i < count; ++i) {
             hashes.set(i, p.beats[i].first);
-            beats.set(i, p.beats[i].second);
+            beats[i] = p.beats[i].second;
         }
     }
     if (!p.buckets.empty()) {
@@ -199,9 +208,13 @@
         for (unsigned i = 0; i < p.buckets.size(); ++i) list.set(i, p.buckets[i]);
     }
     kj::VectorOutputStream bytes(1500);
+    const kj::byte room[kSumBytes] = {};
+    bytes.write(room, kSumBytes);
     capnp::writePackedMessage(bytes, message);
     const auto array = bytes.getArray();
-    return std::string(array.asChars().begin(), array.size());
+    std::string sealed(array.asChars().begin(), array.size());
+    seal(sealed);
+    return sealed;
 }
 
 std::string encode_fitting(Packet& packet, std::size_t longest) {
@@ -214,9 +227,15 @@
 
 boost::leaf::result<Packet> decode(std::string_view bytes) {
     if (bytes.size() > kLongestBytes) return boost::leaf::new_error(BadPacket{"too many bytes"});
+    if (bytes.size() <= kSumBytes) return boost::leaf::new_error(BadPacket{"too few bytes"});
+    std::string_view body = bytes.substr(kSumBytes);
+    std::uint32_t sum = XXH32(body.data(), body.size(), 0);
+    for (std::size_t i = 0; i < kSumBytes; ++i, sum >>= 8)
+        if (static_cast<std::uint8_t>(bytes[i]) != (sum & 0xff))
+            return boost::leaf::new_error(BadPacket{"the sum is wrong"});
     try {
         kj::ArrayInputStream stream(
-            kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+            kj::arrayPtr(reinterpret_cast<const kj::byte*>(body.data()), body.size()));
         capnp::ReaderOptions options;
         options.traversalLimitInWords = kLongestWords;
         options.nestingLimit = 6;
--- a/src/convoy/packet.h
+++ b/src/convoy/packet.h
@@ -34,15 +34,18 @@
     std::uint16_t members = 0;
     std::uint32_t number = 0;
     std::uint64_t life = 0;
-    std::uint32_t version = 0, beat = 0;
+    std::uint32_t version = 0;
+    std::uint8_t beat = 0;
     std::uint64_t digest = 0;
     std::string about, after, next;
     std::vector<Entry> entries;
-    std::vector<std::pair<std::uint32_t, std::uint32_t>> beats;    // hash, beat
+    std::vector<std::uint8_t> row;
+    std::vector<std::pair<std::uint32_t, std::uint8_t>> beats;    // hash, beat
     std::vector<std::uint64_t> buckets;
 };
 
 constexpr std::size_t kMostBuckets = 128;
+constexpr std::size_t kSumBytes = 4;    // before the packed Packet, a sum of it
 
 struct BadPacket {
     std::string what;
@@ -50,6 +53,7 @@
 
 // About what an entry adds to a packet, in bytes; rather too much.
 std::size_t entry_size(const Entry& entry);
+void seal(std::string& bytes);    // writes the sum into the first bytes
 std::string encode(const Packet& packet);
 // Leaves out entries from the end until the bytes are no more than `longest`.
 std::string encode_fitting(Packet& packet, std::size_t longest);
--- a/src/convoy/roll.cpp
+++ b/src/convoy/roll.cpp
@@ -10,7 +10,7 @@
     Entry e;
     e.facts = member->facts;
     e.version = version;
-    e.state = member->state != State::Gone ? member->state : ended ? State::Gone : State::Doubted;
+    e.state = member->state != State::Gone ? member->state : member->ended ? State::Gone : State::Doubted;
     return e;
 }
 
@@ -23,7 +23,7 @@
     e.facts.counts = member->facts.counts;
     e.facts.disk = member->facts.disk;
     e.version = version;
-    e.state = member->state != State::Gone ? member->state : ended ? State::Gone : State::Doubted;
+    e.state = member->state != State::Gone ? member->state : member->ended ? State::Gone : State::Doubted;
     return e;
 }
 
@@ -85,8 +85,9 @@
     m.heard = TimePoint{};
     record.version = version;
     record.beat = 0;
-    record.beat_known = record.probed = false;
-    record.ended = state == State::Gone;
+    record.beat_at = TimePoint{};
+    record.probed = false;
+    m.ended = state == State::Gone;
     record.known = now;
     record.doubted = state == State::Doubted ? now : TimePoint{};
     if (state != State::Alive && !record.lost) {
--- a/src/convoy/roll.h
+++ b/src/convoy/roll.h
@@ -1,10 +1,11 @@
-// The members that a process knows of, with what it keeps on each beside the facts: found by address, by the
-// short name that beats travel under, and by number for drawing one. Keeps sums over all of them by which two
-// processes see whether they know the same.
+// The members that a process knows of, with what it keeps on each beside the facts: in the order of their
+// addresses, by the short name that beats travel under, and by number for drawing one. Keeps sums over all of
+// them by which two processes see whether they know the same.
 #pragma once
 
 #include <boost/multi_index/hashed_index.hpp>
 #include <boost/multi_index/member.hpp>
+#include <boost/multi_index/ordered_index.hpp>
 #include <boost/multi_index/random_access_index.hpp>
 #include <boost/multi_index_container.hpp>
 #include <cstdint>
@@ -22,9 +23,8 @@
     std::uint32_t hash = 0;      // of address and life
     Member* member = nullptr;    // in Roll::members(), or this process's own
     std::uint32_t version = 0;
-    std::uint32_t beat = 0;
-    bool beat_known = false;
-    bool ended = false;         // Gone by its own word
+    std::uint8_t beat = 0;      // 0: none known
+    TimePoint beat_at{};        // when it was learned of
     std::uint64_t place = 0;    // hash of the address: its part in comparisons
     std::uint64_t sum = 0;      // of address, life and version; 0 while Gone
     TimePoint known{};          // when this life was learned of
@@ -39,6 +39,9 @@
 };
 
 class Roll {
+    struct ByAddress {};
+    struct ByHash {};
+
 public:
     explicit Roll(std::size_t most) : most_(most) {}
     Record* find(const std::string& address) const;
@@ -61,6 +64,13 @@
     static std::uint64_t sum(std::uint64_t place, std::uint64_t life, std::uint32_t version);
     static std::uint32_t short_hash(std::uint64_t place, std::uint64_t life);
     const std::map<std::string, Member>& members() const { return members_; }
+    // Calls f with each one after this address, in their order, until it gives false.
+    template <typename F>
+    void walk(const std::string& after, F&& f) const {
+        const auto& index = records_.template get<ByAddress>();
+        for (auto it = index.upper_bound(after); it != index.end(); ++it)
+            if (!f(**it)) return;
+    }
     // Those that are Doubted or Gone, and some that no longer are.
     std::vector<Record*>& lost() { return lost_; }
     const std::vector<Record*>& lost() const { return lost_; }
@@ -69,12 +79,10 @@
     void count(const Record& record, int by);
     void sum(Record& record);
 
-    struct ByAddress {};
-    struct ByHash {};
     using Records = boost::multi_index_container<
         std::shared_ptr<Record>, boost::multi_index::indexed_by<
                                      boost::multi_index::random_access<>,
-                                     boost::multi_index::hashed_unique<
+                                     boost::multi_index::ordered_unique<
                                          boost::multi_index::tag<ByAddress>,
                                          boost::multi_index::member<Record, std::string, &Record::address>>,
                                      boost::multi_index::hashed_non_unique<
--- a/tests/convoy/network.h
+++ b/tests/convoy/network.h
@@ -28,9 +28,9 @@
     TimePoint now{std::chrono::hours(1)};
     double loss = 0.0;
     Duration delay = std::chrono::microseconds(900), jitter = std::chrono::microseconds(600);
-    std::function<bool(const std::string& from, const std::string& to)> cut;    // true: lost
-    std::function<std::string(std::string)> change;      // what the network makes of bytes; for all that pass
-    std::function<void(const std::string& at)> after;    // each call of a process
+    std::function<bool(const std::string& from, const std::string& to)> cut;          // true: lost
+    std::function<std::string(const std::string& from, std::string bytes)> change;    // on their way
+    std::function<void(const std::string& at, const Actions& out)> after;    // each call of a process
     std::map<std::string, Process> processes;
 
     static std::string lighthouse(int i) {
@@ -106,7 +106,7 @@
     void send(const std::string& from, const std::string& to, std::string bytes) {
         if (loss > 0.0 && std::uniform_real_distribution<double>()(random_) < loss) return;
         if (cut && cut(from, to)) return;
-        if (change) bytes = change(std::move(bytes));
+        if (change) bytes = change(from, std::move(bytes));
         const TimePoint time =
             now + delay +
             Duration(static_cast<Duration::rep>(random_() % static_cast<std::uint64_t>(jitter.count() + 1)));
@@ -164,7 +164,7 @@
     }
     void carry(const std::string& from, Actions& out) {
         for (Actions::Send& s : out.sends) send(from, s.to, std::move(s.bytes));
-        if (after) after(from);
+        if (after) after(from, out);
         if (processes[from].convoy != nullptr) arm(from, processes[from]);
     }
     void arm(const std::string& address, Process& p) {
