--- a/src/http/message.h
+++ b/src/http/message.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "http/buffer.h"
@@ -73,6 +74,11 @@
     // The first of this name; empty where there is none.
     std::string_view header(const Buffer& b, std::string_view name) const;
     std::size_t count(const Buffer& b, std::string_view name) const;
+    // All of them, in their order: name and value.
+    std::size_t headers() const { return headers_.size(); }
+    std::pair<std::string_view, std::string_view> header_at(const Buffer& b, std::size_t at) const {
+        return {view(b, headers_[at].name), view(b, headers_[at].value)};
+    }
     std::string_view body(const Buffer& b) const { return b.unread().substr(head_, body_); }
     bool whole() const { return whole_; }    // the last of it has been parsed
     bool keep_alive() const { return keep_alive_; }
