--- a/src/station/command_line.cpp
+++ b/src/station/command_line.cpp
@@ -10,6 +10,7 @@
 #include <iterator>
 
 #include "core/log.h"
+#include "station/log_sink.h"
 
 DEFINE_string(settings, "", "the settings file; without it SHALETRAY_BOOT names it");
 DEFINE_string(log_level, "info", "error, warning, info or debug");
@@ -54,4 +55,22 @@
         [&]() -> std::variant<Start, int> { return over(start.path + ": cannot be used"); });
 }
 
+std::optional<NodeSettings> reread(Start& start) {
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<NodeSettings>> {
+            BOOST_LEAF_AUTO(text, read_file(start.path));
+            if (text == start.text) return std::optional<NodeSettings>();
+            start.text = text;
+            BOOST_LEAF_ASSIGN(start.settings, read_settings(text));
+            event(LogLevel::Info, "settings_changed", {kv("path", start.path)});
+            return std::optional<NodeSettings>(start.settings);
+        },
+        [](const BadSettings& bad) -> std::optional<NodeSettings> {
+            static LogGate gate(std::chrono::seconds(60));
+            if (gate.open()) event(LogLevel::Warning, "settings_not_taken", {kv("why", bad.what)});
+            return std::nullopt;
+        },
+        []() -> std::optional<NodeSettings> { return std::nullopt; });
+}
+
 }    // namespace shaletray::station
--- a/src/station/command_line.h
+++ b/src/station/command_line.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/leaf/result.hpp>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -19,5 +20,8 @@
 // Sets the log's level. The other case is the status that the process ends with, after one line that says
 // why: what was asked for is done (--check), or the command line or the settings are no good.
 std::variant<Start, int> begin(int argc, char** argv, const std::string& program);
+// The file once more: its settings where it says something else than before and can be read. What cannot be
+// read is logged once, and changes nothing.
+std::optional<NodeSettings> reread(Start& start);
 
 }    // namespace shaletray::station
