--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -70,8 +70,8 @@
     double units = 1.0;
     Duration budget{0};
     int first_gateway = 0, width = 1;
-    bool streams = false;       // its answer begins long before it ends
-    std::string reservation;    // that it draws on, where plans change in service
+    bool streams = false;                        // its answer begins long before it ends
+    std::string reservation;                     // that it draws on, where plans change in service
     std::shared_ptr<const void> purpose = {};    // the front's own, kept as long as the request
     Payload payload;
 };
--- a/src/pilot/desk.cpp
+++ b/src/pilot/desk.cpp
@@ -17,7 +17,7 @@
 // Advice where servers have no room: spread, so that those turned away do not come back together.
 constexpr Duration kComeBackLeast = 40ms, kComeBackSpread = 120ms;
 constexpr Duration kDial = 1s;
-constexpr Duration kIdle = 5s;    // kept connections, where servers state nothing
+constexpr Duration kIdle = 5s;        // kept connections, where servers state nothing
 constexpr double kLateShare = 0.3;    // an answer after the aim still earns a part
 constexpr int kMostOpen = 2000;       // requests of one service
 
