Play the whole system on loopback: make run starts all parts, servers and clients

The rig (lab/system_rig) writes a settings file and keeps a disk's folder for each process, gives each machine an address of its own, and has handles to start, kill, stop, freeze and wipe a node. Emulated servers beat, drain and turn away as the protocol says; clients try again only where they may; a board judges by the ids of the tries what ran twice, ran after a promise, was changed, or was answered with another's bytes. The thread with its folder is taken out of the older rig (lab/ground), which now uses POCO's thread: on another one, a reactor without sockets logged a null pointer each turn.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# deps, build, test, lint; `make run` is a whole demonstration; `make example` starts the toy servers that `make
-# serve` is tried with.
+# deps, build, test, lint; `make run` is a whole demonstration, `make run-balancer` one of the balancer alone;
+# `make example` starts the toy servers that `make serve` is tried with.
 JOBS ?= 4
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.h' '*.cpp')
 
@@ -11,7 +11,7 @@
 # For the tests, the laboratory and its reports, and the format.
 MORE_PACKAGES = libgtest-dev libcriterion-dev gnuplot-nox clang-format
 
-.PHONY: deps experiment build test test-plain test-sanitize lint format run serve example clean
+.PHONY: deps experiment build test test-plain test-sanitize lint format run run-balancer serve example clean
 
 # Needs the right to install packages.
 deps:
@@ -44,8 +44,13 @@
 experiment: build
 	exec build/experiment_$(NAME)
 
-# Three gateways, emulated servers, discovery and clients on loopback for twenty seconds, figures on the terminal.
+# The whole system on loopback for twenty seconds: three pilots and lighthouses, emulated servers, an operator
+# and clients, figures on the terminal. SEED=, LIGHTHOUSES= and LOAD= from the environment.
 run: build
+	exec build/system_demo
+
+# The same for the program of deploy/balancer.toml: three gateways, a discovery, emulated servers and clients.
+run-balancer: build
 	exec build/shaletray_lab demo
 
 serve: build
--- a/lab/harness.cpp
+++ b/lab/harness.cpp
@@ -119,6 +119,18 @@
     return nanoseconds / 1e9;
 }
 
+double Process::peak_mb() const {
+    std::ifstream in(fmt::format("/proc/{}/status", pid_));
+    for (std::string line; std::getline(in, line);)
+        if (line.starts_with("VmHWM:")) return std::strtod(line.c_str() + 6, nullptr) / 1024.0;
+    return 0.0;
+}
+
+bool Process::alive() {
+    if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) pid_ = 0;
+    return pid_ > 0;
+}
+
 std::string Process::log_text() const {
     std::ifstream in(log_, std::ios::binary);
     return {std::istreambuf_iterator<char>(in), {}};
@@ -140,8 +152,12 @@
 
 // ---- accepting ----
 
-Acceptor::Acceptor(Reactor& reactor, int port, Take take) : reactor_(reactor), take_(std::move(take)) {
-    socket_.bind(Poco::Net::SocketAddress("127.0.0.1", static_cast<Poco::UInt16>(port)), true);
+Acceptor::Acceptor(Reactor& reactor, int port, Take take)
+    : Acceptor(reactor, fmt::format("127.0.0.1:{}", port), std::move(take)) {}
+
+Acceptor::Acceptor(Reactor& reactor, const std::string& address, Take take)
+    : reactor_(reactor), take_(std::move(take)) {
+    socket_.bind(Poco::Net::SocketAddress(address), true);
     socket_.listen(256);
     socket_.setBlocking(false);
     reactor_.addEventHandler(
--- a/lab/harness.h
+++ b/lab/harness.h
@@ -34,6 +34,8 @@
     int end();
     // Time on a core since its start, in seconds.
     double cpu() const;
+    double peak_mb() const;    // of memory that was resident at a time
+    bool alive();
     pid_t pid() const { return pid_; }
     std::string log_text() const;
 
@@ -54,6 +56,7 @@
     using Take = std::function<void(const Poco::Net::StreamSocket&)>;
     // Port 0: any.
     Acceptor(Reactor& reactor, int port, Take take);
+    Acceptor(Reactor& reactor, const std::string& address, Take take);
     ~Acceptor();
     int port() const { return socket_.address().port(); }
     std::string address() const { return socket_.address().toString(); }
--- a/lab/rig.cpp
+++ b/lab/rig.cpp
@@ -1,7 +1,6 @@
 #include "rig.h"
 
 #include <fmt/format.h>
-#include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -41,10 +40,8 @@
     return broken_.empty() ? 0 : 1;
 }
 
-Rig::Rig(RigSettings settings, Workers::Seen seen) : s_(std::move(settings)) {
-    folder_ = std::filesystem::temp_directory_path() /
-              fmt::format("shaletray-{}-{}-{}", s_.name, s_.seed, getpid());
-    std::filesystem::create_directories(folder_);
+Rig::Rig(RigSettings settings, Workers::Seen seen)
+    : Ground(fmt::format("{}-{}", settings.name, settings.seed)), s_(std::move(settings)) {
     workers_ =
         std::make_unique<Workers>(reactor_, s_.workers, std::chrono::milliseconds(20), std::move(seen));
     gateways_.resize(static_cast<std::size_t>(s_.gateways));
@@ -54,34 +51,6 @@
 Rig::~Rig() {
     stop_thread();
     callers_.clear();
-    std::error_code ignored;
-    if (std::getenv("KEEP") == nullptr) std::filesystem::remove_all(folder_, ignored);
-}
-
-void Rig::start_thread() {
-    reactor_.before_turn([this](bool) {
-        const std::lock_guard lock(mutex_);
-        for (; !wanted_.empty(); wanted_.pop_front()) wanted_.front()();
-        done_.notify_all();
-    });
-    thread_ = std::thread([this] { reactor_.run(); });
-}
-
-void Rig::stop_thread() {
-    if (!thread_.joinable()) return;
-    reactor_.stop();
-    reactor_.wakeUp();
-    thread_.join();
-}
-
-void Rig::wait(double s) { std::this_thread::sleep_for(from_secs(s)); }
-
-bool Rig::wait_for(const std::function<bool()>& what, double most) {
-    for (double t = 0.0; t < most; t += 0.02) {
-        if (sync(what)) return true;
-        wait(0.02);
-    }
-    return false;
 }
 
 void Rig::start_gateway(int g, const std::string& cue) {
--- a/lab/rig.h
+++ b/lab/rig.h
@@ -1,21 +1,15 @@
-// The ground of an experiment with real gateways: a folder, stand-in workers, gateways as processes with
-// callers before them, and a thread for the reactor to which all of that belongs.
+// What an experiment with real gateways stands on: stand-in workers, and gateways as processes with callers
+// before them.
 #pragma once
 
-#include <condition_variable>
-#include <deque>
-#include <exception>
-#include <filesystem>
 #include <functional>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <string>
-#include <thread>
 #include <vector>
 
+#include "ground.h"
 #include "harness.h"
 #include "lab/measure.h"
 
@@ -54,44 +48,12 @@
     std::vector<RigPlan> plans;
 };
 
-class Rig {
+class Rig : protected Ground {
 public:
     Rig(RigSettings settings, Workers::Seen seen);
-    virtual ~Rig();
-    Rig(const Rig&) = delete;
-    Rig& operator=(const Rig&) = delete;
+    ~Rig() override;
 
 protected:
-    // Runs it on the reactor's thread and waits until it is done.
-    template <class F>
-    auto sync(F what) {
-        std::unique_lock lock(mutex_);
-        std::exception_ptr error;
-        bool done = false;
-        std::optional<decltype(what())> result;
-        wanted_.push_back([&] {
-            try {
-                result.emplace(what());
-            } catch (...) {
-                error = std::current_exception();
-            }
-            done = true;
-        });
-        reactor_.wakeUp();
-        done_.wait(lock, [&] { return done; });
-        if (error) std::rethrow_exception(error);
-        return *result;
-    }
-    void sync_do(const std::function<void()>& what) {
-        sync([&] { return what(), true; });
-    }
-    void start_thread();
-    void stop_thread();
-    void after(double s, std::function<void()> what) { reactor_.after(from_secs(s), std::move(what)); }
-    static void wait(double s);
-    // Until it holds, at most so long. False where it did not.
-    bool wait_for(const std::function<bool()>& what, double most);
-
     // `cue`: the operator's file; empty: none. Clients come once it is ready, as a front does it.
     void start_gateway(int g, const std::string& cue);
     void try_caller(int g, const std::string& address, int life);
@@ -99,20 +61,12 @@
     double cpu() const;
 
     RigSettings s_;
-    std::filesystem::path folder_;
-    SystemClock clock_;
-    Timers timers_;
-    Reactor reactor_{clock_, timers_};
     std::unique_ptr<Workers> workers_;
     std::vector<std::unique_ptr<Process>> gateways_;
     std::map<int, std::shared_ptr<Caller>> callers_;
     int starts_ = 0;
 
 private:
-    std::mutex mutex_;
-    std::condition_variable done_;
-    std::deque<std::function<void()>> wanted_;    // to be done on the reactor's thread
-    std::thread thread_;
     std::vector<int> lives_;
 };
 
