Give the retry tokens settings, and let only arrivals at a server count where wanted

The share, the cap, the tokens at the start and a refill by time were constants (0.2, 20, 20, none). They are now in RequestLimits with these values, checked, and taken over by Gateway::adopt, so that a budget shared by all gateways can be dealt out to each as it changes.

Looked at first: every further attempt takes a token, whatever became of the one before; after_failure is the one way to it, after Full, a failed connect and a call-off too. Where retry_refunds is set, an attempt that could not connect, or was never sent, takes none, the next one that is then the first to arrive neither, and a token taken for an attempt that never went out comes back.

--- a/include/valehall/control.h
+++ b/include/valehall/control.h
@@ -62,6 +62,14 @@
     bool may_probe = false;
     Duration max_retry_after{0};
     int max_open = 20000;
+    // Further attempts draw on tokens: one each, whatever became of the attempt before.
+    double retry_share = 0.2;           // tokens that each request's first send adds
+    double retry_burst = 20.0;          // most tokens kept
+    double retry_start = 20.0;          // at the start; adopting changes what is kept only by the cap
+    double retry_refill_per_s = 0.0;    // added as time passes
+    // Only what may have reached a server counts: an attempt that could not connect, or was never sent, takes
+    // no token, nor does the one after it that is then the first to arrive.
+    bool retry_refunds = false;
 
     bool operator==(const RequestLimits&) const = default;
 };
--- a/src/module/attempts.cpp
+++ b/src/module/attempts.cpp
@@ -3,8 +3,7 @@
 
 namespace valehall {
 
-constexpr double kRetryShare = 0.2;    // retries per first send
-constexpr int kHungAfter = 10;         // times the class's usual latency
+constexpr int kHungAfter = 10;    // times the class's usual latency
 
 // True where it went out. Only the first send of a request takes units.
 bool Gateway::Impl::try_send(Request& r, TimePoint now) {
@@ -20,7 +19,7 @@
         if (!r.beyond) c.quota.level -= r.ask.units;
         active_.insert(r.ask.customer);
         c.ceiling.level -= r.ask.units;
-        retries_left_ = std::min(kRetryBurst, retries_left_ + kRetryShare);
+        retries_left_ = std::min(s_.retry_burst, retries(now) + s_.retry_share);
     }
     const double work = seconds(usual(r));
     if (coldness(*v, now) < 1.0) v->cold_work -= work;
@@ -34,6 +33,12 @@
     return true;
 }
 
+// Tokens for further attempts.
+double Gateway::Impl::retries(TimePoint now) {
+    const double gained = s_.retry_refill_per_s * seconds(now - std::exchange(retries_seen_, now));
+    return retries_left_ = std::min(s_.retry_burst, retries_left_ + gained);
+}
+
 // Counts an attempt into, or out of, what is held to be in work.
 void Gateway::Impl::load(Attempt& a, int by) {
     if (a.hung) return;
@@ -61,7 +66,7 @@
     Attempt& a = r.attempts.back();
     const ClassSettings& c = cls(r);
     if (a.ran != Ran::Out || a.stopped || r.streaming || !s_.may_cancel || c.repeat == Repeat::Unsafe) return;
-    if (static_cast<int>(r.attempts.size()) >= s_.send_cap || retries_left_ < 1.0) return;
+    if (static_cast<int>(r.attempts.size()) >= s_.send_cap || retries(now) < 1.0) return;
     if (c.repeat == Repeat::Keyed && now - r.attempts.front().sent + kBusyTick >= c.window) return;
     if (now + usual(r) > std::min(r.deadline, r.arrived + c.aim)) return;
     a.stopped = true;
@@ -81,9 +86,7 @@
     const auto sit = servers_.find(e.host);
     Server* v = sit == servers_.end() ? nullptr : &sit->second;
     Request* r = find(e.request);
-    if (v != nullptr) {
-        heard(*v, e, now);
-    }
+    if (v != nullptr) heard(*v, e, now);
     if (r == nullptr || e.attempt < 0 || static_cast<std::size_t>(e.attempt) >= r->attempts.size()) return;
     Attempt& a = r->attempts[static_cast<std::size_t>(e.attempt)];
     if (a.ran != Ran::Out) return;
@@ -91,6 +94,9 @@
     const bool never =
         e.outcome == Outcome::Full || e.outcome == Outcome::ConnectFailed || e.outcome == Outcome::NotSent;
     a.ran = never ? Ran::Never : Ran::Maybe;
+    // Nothing came to the server: the token that this attempt took, if any, is the next one's.
+    const bool nowhere = s_.retry_refunds && never && e.outcome != Outcome::Full;
+    if (!nowhere) r->reached = true, r->token = false;
     Customer& c = *r->of;
     --c.out;
     freed_ = &c;
@@ -113,10 +119,12 @@
 void Gateway::Impl::after_failure(Request& r, TimePoint now) {
     const ClassSettings& c = cls(r);
     const Duration left = (c.late_share > 0.0 ? r.deadline : std::min(r.deadline, r.arrived + c.aim)) - now;
-    if (retries_left_ < 1.0 || left < usual(r)) return finish(r, now);
+    const bool takes = r.reached && !r.token;
+    if ((takes && retries(now) < 1.0) || left < usual(r)) return finish(r, now);
     if (std::none_of(by_draw_.begin(), by_draw_.end(), [&](Server* v) { return legal(r, v, now); }))
         return finish(r, now);
-    retries_left_ -= 1.0;
+    if (takes) retries_left_ -= 1.0;
+    r.token = r.reached;
     if (try_send(r, now)) return;
     r.hold_until = now + left / 2;
     hold(r, now);
@@ -142,6 +150,8 @@
     if (!r.attempts.empty() && r.attempts.back().ran == Ran::Out) {
         load(r.attempts.back(), -1);
         --r.of->out;
+    } else if (r.token && s_.retry_refunds) {
+        retries_left_ = std::min(s_.retry_burst, retries_left_ + 1.0);
     }
     requests_.erase(r.ask.request);
 }
--- a/src/module/gateway.cpp
+++ b/src/module/gateway.cpp
@@ -13,7 +13,7 @@
     check(s_);
     if (s_.plans.empty()) s_.plans.emplace_back();
     usual_.assign(s_.classes.size(), 0.0);
-    retries_left_ = kRetryBurst;
+    retries_left_ = std::min(s_.retry_burst, s_.retry_start);
     set_message_pace();
 }
 
@@ -21,7 +21,7 @@
     actions_ = &actions;
     if (!started_) {
         started_ = true;
-        boot_ = warm_seen_ = slot_seen_ = now;
+        boot_ = warm_seen_ = slot_seen_ = retries_seen_ = now;
         mail_at_ = now - 2 * kAlone;
         if (s_.ask_for_list) actions.push_back(Subscribe{});
         arm(now + kBusyTick);
@@ -55,6 +55,10 @@
         }
         if (p.max_out < 0) throw BadSettings("settings: negative limit in a plan");
     }
+    for (const double value : {s.retry_share, s.retry_burst, s.retry_start, s.retry_refill_per_s}) {
+        if (!(value >= 0.0) || !std::isfinite(value))
+            throw BadSettings("settings: negative figure for retries");
+    }
     if (s.cold < Duration(0) || s.fall < Duration(0) || !(s.start_capacity >= 0.0)) {
         throw BadSettings("settings: negative figure in the rules");
     }
--- a/src/module/gateway_state.h
+++ b/src/module/gateway_state.h
@@ -133,6 +133,8 @@
         bool short_of_room = false;    // its hold was shortened for that, once
         std::vector<Attempt> attempts;
         bool held = false, counted = false, streaming = false;
+        bool reached = false;        // an attempt may have reached its server
+        bool token = false;          // one was taken for an attempt that is to come, or is out
         bool wants_units = false;    // held for units, not for room at the servers
         std::uint64_t turn = 0;
     };
@@ -203,6 +205,7 @@
     void finish(Request& r, TimePoint now);
     void drop(Request& r);
     void finished(const AttemptFinished& e, TimePoint now);
+    double retries(TimePoint now);
     void after_failure(Request& r, TimePoint now);
     void learn_latency(Server& v, const AttemptFinished& e, const Request& r, TimePoint now);
     void pressed(TimePoint now, double by);
@@ -243,7 +246,8 @@
     Customer* freed_ = nullptr;                            // whose attempt the event ended
     std::uint64_t turns_ = 0;
     std::vector<double> usual_;    // median seconds an answer takes, by class; 0 until seen
-    double retries_left_ = 0.0;
+    double retries_left_ = 0.0;    // tokens, as of the time beside it
+    TimePoint retries_seen_{};
     int out_ = 0;
     double limit_ = 0.0;       // attempts out at once over all servers
     double lateness_ = 0.0;    // recent latency over the aim
--- a/src/module/tuned.h
+++ b/src/module/tuned.h
@@ -7,8 +7,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kAlone = 3s;    // no mail at all for this long: each lives on its own refill
-constexpr double kRetryBurst = 20.0;
+constexpr Duration kAlone = 3s;          // no mail at all for this long: each lives on its own refill
 constexpr Duration kBusyTick = 10ms;     // between two ticks while anything is held or out
 constexpr double kFailHalfLife = 3.0;    // seconds
 
--- a/tests/control_rules_test.cpp
+++ b/tests/control_rules_test.cpp
@@ -386,6 +386,7 @@
     bad([](Settings& s) { s.classes.clear(); });
     bad([](Settings& s) { s.plans[0].rate = -1.0; });
     bad([](Settings& s) { s.plans[0].max_out = -1; });
+    bad([](Settings& s) { s.retry_share = -0.1; });
 }
 
 }    // namespace
--- a/tests/control_servers_test.cpp
+++ b/tests/control_servers_test.cpp
@@ -277,6 +277,88 @@
     EXPECT_LE(sends, 500 + 100 + 20);
 }
 
+// Sends that one request gets, `outcome` each, and whether a refusal or failure was its answer.
+int sends_of_one(Script& s, std::initializer_list<Outcome> outcomes) {
+    s.clear();
+    const RequestId id = s.ask();
+    int sends = 0;
+    for (const Outcome outcome : outcomes) {
+        const auto send = s.last<Send>();
+        if (!send || send->request != id) break;
+        s.clear();
+        s.outcome(id, sends++, send->host, outcome, outcome == Outcome::Ok);
+    }
+    return sends + (s.last<Send>() ? 1 : 0);
+}
+
+Settings few_retries(double start) {
+    Settings s = wide_open();
+    s.retry_share = 0.0;
+    s.retry_start = start;
+    return s;
+}
+
+TEST(Retries, WhatNeverRanTakesATokenAllTheSame) {
+    for (const Outcome outcome : {Outcome::Full, Outcome::ConnectFailed, Outcome::Reset, Outcome::Error}) {
+        Script s(few_retries(2.0));
+        s.hosts(8);
+        EXPECT_EQ(sends_of_one(s, {outcome, outcome, Outcome::Ok}), 3);
+        EXPECT_EQ(sends_of_one(s, {outcome, Outcome::Ok}), 1);
+    }
+}
+
+TEST(Retries, OnlyArrivalsCountWhereTokensAreRefunded) {
+    Settings settings = few_retries(1.0);
+    settings.retry_refunds = true;
+    Script s(settings);
+    s.hosts(30);
+    // Two that could not connect, the first arrival, a further arrival after a failed connect: one token.
+    EXPECT_EQ(sends_of_one(s, {Outcome::ConnectFailed, Outcome::ConnectFailed, Outcome::Full, Outcome::Ok}),
+              4);
+    EXPECT_EQ(sends_of_one(s, {Outcome::Full, Outcome::Ok}), 1);
+    EXPECT_EQ(sends_of_one(s, {Outcome::ConnectFailed, Outcome::Full, Outcome::Ok}), 2);
+    // Nothing comes of what never arrived: no token is made of it.
+    EXPECT_EQ(sends_of_one(s, {Outcome::ConnectFailed, Outcome::ConnectFailed, Outcome::ConnectFailed,
+                               Outcome::ConnectFailed}),
+              4);
+    EXPECT_EQ(sends_of_one(s, {Outcome::Reset, Outcome::Ok}), 1);
+}
+
+// The token of a further attempt that finds no server, or cannot connect, before its request ends.
+TEST(Retries, ATokenThatWasNotUsedComesBack) {
+    Settings settings = few_retries(1.0);
+    settings.retry_refunds = true;
+    settings.send_cap = 2;
+    Script s(settings);
+    s.hosts(8);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(sends_of_one(s, {Outcome::Full, Outcome::ConnectFailed}), 2);
+        s.pass(1s);
+    }
+    EXPECT_EQ(sends_of_one(s, {Outcome::Full, Outcome::Ok}), 2);
+    EXPECT_EQ(sends_of_one(s, {Outcome::Full, Outcome::Ok}), 1);
+}
+
+TEST(Retries, RefillAndCapMayBeAdopted) {
+    Settings settings = few_retries(0.0);
+    Script s(settings);
+    s.hosts(8);
+    EXPECT_EQ(sends_of_one(s, {Outcome::Full}), 1);
+    settings.retry_refill_per_s = 0.5;
+    settings.retry_burst = 2.0;
+    s.gateway().adopt(settings);
+    s.pass(60s);
+    for (const int sends : {2, 2, 1}) EXPECT_EQ(sends_of_one(s, {Outcome::Full}), sends);
+    s.pass(2s);
+    for (const int sends : {2, 1}) EXPECT_EQ(sends_of_one(s, {Outcome::Full}), sends);
+    settings.retry_refill_per_s = 0.0;
+    settings.retry_share = 0.5;
+    s.gateway().adopt(settings);
+    for (const int sends : {1, 2, 1, 2}) EXPECT_EQ(sends_of_one(s, {Outcome::Full}), sends);
+    settings.retry_burst = -1.0;
+    EXPECT_THROW(s.gateway().adopt(settings), BadSettings);
+}
+
 TEST(Choice, WorkSpreadsOverHosts) {
     Script s(wide_open());
     s.hosts(5);
