--- /dev/null
+++ b/src/lighthouse/gallery.cpp
@@ -0,0 +1,71 @@
+#include "lighthouse/gallery.h"
+
+#include <algorithm>
+
+namespace shaletray::lighthouse {
+
+void Gallery::chart(chart::Chart chart) {
+    Held held;
+    held.digest = chart::digest_of(chart);
+    held.chart = std::make_shared<const chart::Chart>(std::move(chart));
+    charts_.push_back(std::move(held));
+    if (charts_.size() > settings_.charts) charts_.pop_front();
+    updates_.clear();
+}
+
+const std::string& Gallery::update_from(std::uint64_t version, std::uint64_t digest) {
+    const auto [it, is_new] = updates_.try_emplace({version, digest});
+    if (!is_new) return it->second;
+    const auto base = std::find_if(charts_.begin(), charts_.end(), [&](const Held& h) {
+        return h.chart->version == version && h.digest == digest;
+    });
+    it->second = base == charts_.end() ? chart::write_whole(*charts_.back().chart)
+                                       : chart::write_patch(*base->chart, *charts_.back().chart);
+    return it->second;
+}
+
+std::string Gallery::news(Watcher& watcher, TimePoint now) {
+    watch::News news;
+    news.life = settings_.life;
+    news.confirmed = confirmed_;
+    if (!charts_.empty()) {
+        news.version = version();
+        news.digest = charts_.back().digest;
+        if (watcher.version < news.version) {
+            news.update = update_from(watcher.version, watcher.digest);
+            watcher.version = news.version;
+            watcher.digest = news.digest;
+        }
+    }
+    news.since = watcher.sequence;
+    news.sequence = muster_.sequence();
+    if (news.sequence > news.since || news.since == 0) news.servers = muster_.changes(news.since, false, now);
+    watcher.sequence = news.sequence;
+    return watch::encode(news);
+}
+
+void Gallery::heard(const std::string& from, const watch::Have& have, TimePoint now, std::vector<Send>& out) {
+    Watcher& watcher = watchers_[from];
+    watcher.version = have.version;
+    watcher.digest = have.digest;
+    watcher.sequence =
+        have.known_life == settings_.life ? std::min(have.known_sequence, muster_.sequence()) : 0;
+    watcher.heard = now;
+    out.push_back({from, news(watcher, now)});
+}
+
+void Gallery::tell(TimePoint now, std::vector<Send>& out) {
+    for (auto it = watchers_.begin(); it != watchers_.end();) {
+        Watcher& watcher = it->second;
+        if (now - watcher.heard > settings_.forgotten) {
+            it = watchers_.erase(it);
+            continue;
+        }
+        const bool lacks = watcher.version < version() || watcher.sequence < muster_.sequence();
+        if (lacks && now - watcher.heard <= settings_.reported)
+            out.push_back({it->first, news(watcher, now)});
+        ++it;
+    }
+}
+
+}    // namespace shaletray::lighthouse
--- /dev/null
+++ b/src/lighthouse/lighthouse.cpp
@@ -0,0 +1,457 @@
+#include "lighthouse/lighthouse.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "station/log_sink.h"
+
+namespace shaletray::lighthouse {
+namespace {
+
+using namespace std::chrono_literals;
+namespace leaf = boost::leaf;
+using station::event;
+
+constexpr Duration kConfirmEvery = 500ms, kConfirmedFor = 1500ms, kMusterEvery = 250ms, kWholeEvery = 3s,
+                   kCrewEvery = 250ms;
+// Callers move on to another lighthouse after a second of silence.
+constexpr Duration kAnswerWithin = 900ms;
+constexpr Duration kEndAfter = 300ms, kEndAtLast = 1500ms;
+constexpr std::size_t kCallers = 1024;
+constexpr int kCommandsAtOnce = 64;    // in one turn of the loop
+
+helm::Queue::Answer trouble(int status, const std::string& why) {
+    std::string text;
+    for (const char c : why) {
+        if (c == '"' || c == '\\') text += '\\';
+        text += static_cast<unsigned char>(c) < 0x20 ? ' ' : c;
+    }
+    return {status, fmt::format("{{\"error\":\"{}\"}}", text), {}};
+}
+
+helm::Queue::Answer come_back() {
+    return {503, "{\"error\":\"no majority in time\"}", "Retry-After: 0.1\r\n"};
+}
+
+std::vector<std::string> lighthouse_seeds(const station::NodeSettings& s) {
+    std::vector<std::string> seeds;
+    for (const std::string& seed : s.seeds)
+        seeds.push_back(station::lighthouse_address(station::ip_of(seed), s));
+    return seeds;
+}
+
+muster::Muster::Settings muster_settings(const std::string& me, std::uint64_t life,
+                                         const station::NodeSettings& s) {
+    muster::Muster::Settings m;
+    m.me = me;
+    m.life = life;
+    m.heartbeat = s.heartbeat;
+    return m;
+}
+
+}    // namespace
+
+Lighthouse::Lighthouse(station::NodeSettings settings, std::unique_ptr<lamp::Store> store)
+    : settings_(std::move(settings)),
+      address_(station::lighthouse_address(settings_.ip, settings_)),
+      life_(static_cast<std::uint64_t>(std::max<std::int64_t>(1, clock_.now().time_since_epoch().count()))),
+      store_(std::move(store)),
+      muster_(muster_settings(address_, life_, settings_)),
+      gallery_(Gallery::Settings{.life = life_}, muster_),
+      steward_(address_) {
+    const TimePoint now = clock_.now();
+    const std::uint64_t seed = std::hash<std::string>{}(address_) ^ life_;
+    const std::vector<std::string> seeds = lighthouse_seeds(settings_);
+
+    lamp::Settings l;
+    l.me = {address_, store_->loaded().disk};
+    l.votes = settings_.quorum_member;
+    if (settings_.bootstrap) l.founders = seeds;
+    l.seed = seed;
+    lamp_ = std::make_unique<lamp::Lamp>(l, store_->loaded(), now);
+
+    convoy::Settings c;
+    c.me.address = address_;
+    c.me.role = convoy::Role::Lighthouse;
+    c.me.name = settings_.node_name;
+    c.me.zone = settings_.zone;
+    c.me.region = settings_.region;
+    c.me.control = settings_.control;
+    c.me.quorum = settings_.quorum_member;
+    c.me.disk = store_->loaded().disk;
+    c.me.life = life_;
+    c.seeds = seeds;
+    c.seed = seed + 1;
+    convoy_ = std::make_unique<convoy::Convoy>(c, now);
+
+    mailer_ = std::make_unique<signal::Mailer>(reactor_, address_, life_, signal::Mailer::Limits{},
+                                               [this](signal::Letter&& letter) { heard(std::move(letter)); });
+    stored_ = std::make_unique<Waker>(reactor_, [this] {
+        for (const std::uint64_t token : store_->done()) {
+            lamp::Actions out;
+            lamp_->stored(token, clock_.now(), out);
+            carry(std::move(out));
+        }
+    });
+    store_->on_done([this] { stored_->wake(); });
+    CallServer::Limits limits;
+    limits.most = std::min(kCallers, settings_.max_open_files / 4);
+    calls_ = std::make_unique<CallServer>(
+        reactor_, CallServer::listen(settings_.control), limits,
+        [this](const Call& call, std::shared_ptr<Caller> caller) { take(call, std::move(caller)); },
+        helm::longest_body);
+    if (!settings_.readiness.empty())
+        readiness_ = serve_readiness(reactor_, settings_.readiness, [this] { return confirmed(); });
+    members_changed();
+    decree_changed();
+    event(LogLevel::Info, "lighthouse_started",
+          {kv("address", address_), kv("life", life_), kv("disk", store_->loaded().disk),
+           kv("decree", lamp_->decree().number), kv("version", lamp_->decree().version),
+           kv("given_up", store_->given_up())});
+}
+
+Lighthouse::~Lighthouse() {
+    store_->on_done({});
+    reactor_.cancel(tick_timer_);
+    reactor_.cancel(commands_timer_);
+}
+
+void Lighthouse::run(std::function<void()> look) {
+    reactor_.before_turn([this, look = std::move(look)](bool) {
+        look();
+        look_after_stop();
+    });
+    tick();
+    reactor_.reckon_timeout();
+    reactor_.run();
+}
+
+void Lighthouse::settings_changed(const station::NodeSettings& settings) {
+    settings_.seeds = settings.seeds;
+    convoy_->seeds(lighthouse_seeds(settings_));
+    members_changed();
+}
+
+// ---- calls ----
+
+void Lighthouse::take(const Call& call, std::shared_ptr<Caller> caller) {
+    helm::Queue::Order order;
+    order.since = clock_.now();
+    order.answer = [caller](helm::Queue::Answer answer) {
+        Reply reply;
+        reply.status = answer.status;
+        reply.body = std::move(answer.body);
+        reply.headers = std::move(answer.headers);
+        caller->answer(std::move(reply));
+    };
+    order.gone = [caller] { return caller->gone(); };
+    const bool understood = leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_ASSIGN(order.command, helm::decode(call.method, call.target, call.body));
+            return true;
+        },
+        [&](const helm::Refused& refused) {
+            ++counts_.refused;
+            helm::Queue::Answer answer = trouble(refused.status, refused.why);
+            if (!refused.allow.empty()) answer.headers = fmt::format("Allow: {}\r\n", refused.allow);
+            order.answer(std::move(answer));
+            return false;
+        },
+        [&] {
+            order.answer(trouble(400, "not understood"));
+            return false;
+        });
+    if (!understood) return;
+    if (!commands_.push(std::move(order))) {
+        ++counts_.refused;
+        return order.answer(come_back());
+    }
+    if (commands_timer_ == 0) commands_timer_ = reactor_.after(Duration(0), [this] { run_commands(); });
+}
+
+void Lighthouse::run_commands() {
+    commands_timer_ = 0;
+    for (int i = 0; i < kCommandsAtOnce; ++i) {
+        std::optional<helm::Queue::Order> order = commands_.pop();
+        if (!order) return;
+        if (order->gone()) continue;
+        std::visit([&](auto& command) { run(command, *order); }, order->command);
+    }
+    if (commands_.size() > 0) commands_timer_ = reactor_.after(Duration(0), [this] { run_commands(); });
+}
+
+void Lighthouse::run(helm::Beat& beat, const helm::Queue::Order& order) {
+    ++counts_.beats;
+    muster_.beat(beat.beat, clock_.now());
+    muster_changed();    // all are told before the call is acknowledged
+    order.answer({200, "{}", {}});
+}
+
+void Lighthouse::run(helm::Deregister& end, const helm::Queue::Order& order) {
+    ++counts_.ends;
+    muster_.deregister(end.id, clock_.now());
+    muster_changed();
+    order.answer({200, "{}", {}});
+}
+
+void Lighthouse::run(helm::Replace& replace, const helm::Queue::Order& order) {
+    ++counts_.replaces;
+    const std::uint64_t version = leaf::try_handle_all(
+        [&]() -> leaf::result<std::uint64_t> {
+            BOOST_LEAF_AUTO(chart, chart::read_chart(replace.text));
+            return chart.version;
+        },
+        [&](const chart::Refusal& refusal) -> std::uint64_t {
+            event(LogLevel::Info, "configuration_refused",
+                  {kv("field", refusal.field), kv("why", refusal.why)});
+            order.answer(trouble(400, refusal.field + ": " + refusal.why));
+            return 0;
+        },
+        [&]() -> std::uint64_t {
+            order.answer(trouble(400, "cannot be read"));
+            return 0;
+        });
+    if (version == 0) return;
+    const lamp::Ticket ticket = ++last_ticket_;
+    const TimePoint now = clock_.now();
+    tickets_[ticket] = [this, version, now, answer = order.answer](lamp::Answer outcome) {
+        const bool settled = outcome != lamp::Answer::Unsettled;
+        counts_.unsettled += !settled;
+        event(LogLevel::Info, settled ? "configuration_settled" : "configuration_unsettled",
+              {kv("version", version), kv("held", lamp_->decree().version),
+               kv("took_ms", (clock_.now() - now) / 1ms)});
+        answer(settled ? helm::Queue::Answer{200, "{}", {}} : come_back());
+    };
+    lamp::Actions out;
+    lamp_->propose(ticket, version, std::move(replace.text), now + kAnswerWithin, now, out);
+    carry(std::move(out));
+}
+
+void Lighthouse::run(helm::Read&, const helm::Queue::Order& order) {
+    ++counts_.reads;
+    const lamp::Ticket ticket = ++last_ticket_;
+    tickets_[ticket] = [this, answer = order.answer](lamp::Answer outcome) {
+        if (outcome == lamp::Answer::Unsettled) return answer(come_back());
+        const lamp::Decree& decree = lamp_->decree();
+        if (decree.version == 0) return answer(trouble(404, "no configuration was taken yet"));
+        answer({200, decree.text, {}});
+    };
+    const TimePoint now = clock_.now();
+    lamp::Actions out;
+    lamp_->confirm(ticket, now + kAnswerWithin, now, out);
+    carry(std::move(out));
+}
+
+// ---- other processes ----
+
+void Lighthouse::heard(signal::Letter&& letter) {
+    const TimePoint now = clock_.now();
+    switch (letter.kind) {
+        case signal::Kind::Convoy: {
+            convoy::Actions out;
+            convoy_->heard(letter.from, letter.bytes, now, out);
+            carry(out);
+            break;
+        }
+        case signal::Kind::Lamp: {
+            convoy_->seen(letter.from, letter.life, now);
+            lamp::Actions out;
+            lamp_->heard(letter.from, letter.bytes, now, out);
+            carry(std::move(out));
+            break;
+        }
+        case signal::Kind::Muster:
+            muster_.merge(letter.from, letter.bytes, now);
+            tell_pilots();
+            break;
+        case signal::Kind::Watch: {
+            convoy_->seen(letter.from, letter.life, now);
+            auto have = watch::decode_have(letter.bytes);
+            if (!have) break;
+            std::vector<Gallery::Send> out;
+            gallery_.confirmed(confirmed());
+            gallery_.heard(letter.from, *have, now, out);
+            for (const auto& send : out) mailer_->session(send.to, signal::Kind::Watch, send.bytes);
+            break;
+        }
+        case signal::Kind::Tide: break;    // pilots' own
+    }
+}
+
+void Lighthouse::carry(const convoy::Actions& actions) {
+    for (const auto& send : actions.sends) mailer_->datagram(send.to, signal::Kind::Convoy, send.bytes);
+    bool lighthouses = false;
+    for (const std::string& address : actions.changed) {
+        const auto it = convoy_->members().find(address);
+        lighthouses = lighthouses || it == convoy_->members().end() ||
+                      it->second.facts.role == convoy::Role::Lighthouse;
+    }
+    if (lighthouses) members_changed();
+}
+
+void Lighthouse::carry(lamp::Actions&& actions) {
+    for (auto& store : actions.stores) store_->put(std::move(store));
+    for (const auto& send : actions.sends) mailer_->session(send.to, signal::Kind::Lamp, send.bytes);
+    // Pilots are told before anybody hears that it is settled.
+    if (actions.changed) decree_changed();
+    for (const auto& done : actions.done) {
+        const auto it = tickets_.find(done.ticket);
+        if (it == tickets_.end()) continue;
+        const auto answer = std::move(it->second);
+        tickets_.erase(it);
+        answer(done.answer);
+    }
+    if (const auto next = lamp_->next()) tick_at(*next);
+}
+
+void Lighthouse::decree_changed() {
+    const lamp::Decree& decree = lamp_->decree();
+    if (decree.version > gallery_.version()) {
+        auto chart = chart::read_chart(decree.text);    // it was checked before it was proposed
+        if (chart) gallery_.chart(std::move(*chart));
+        else event(LogLevel::Error, "decree_unread", {kv("version", decree.version)});
+    }
+    event(LogLevel::Info, "decree",
+          {kv("number", decree.number), kv("version", decree.version), kv("crew", decree.crew.size())});
+    std::vector<Gallery::Send> out;
+    gallery_.confirmed(confirmed());
+    gallery_.tell(clock_.now(), out);
+    for (const auto& send : out) mailer_->session(send.to, signal::Kind::Watch, send.bytes);
+}
+
+// What servers said here, to the pilots and the other lighthouses.
+void Lighthouse::muster_changed() {
+    const TimePoint now = clock_.now();
+    tell_pilots();
+    for (auto& [address, told] : told_) {
+        if (told >= muster_.sequence()) continue;
+        mailer_->session(address, signal::Kind::Muster, muster_.changes(told, true, now));
+        told = muster_.sequence();
+    }
+}
+
+void Lighthouse::tell_pilots() {
+    if (told_pilots_ == muster_.sequence()) return;
+    told_pilots_ = muster_.sequence();
+    std::vector<Gallery::Send> out;
+    gallery_.confirmed(confirmed());
+    gallery_.tell(clock_.now(), out);
+    for (const auto& send : out) mailer_->session(send.to, signal::Kind::Watch, send.bytes);
+}
+
+void Lighthouse::members_changed() {
+    std::vector<std::string> others;
+    for (const auto& [address, member] : convoy_->members()) {
+        if (member.facts.role == convoy::Role::Lighthouse && member.state != convoy::State::Gone)
+            others.push_back(address);
+    }
+    for (const std::string& seed : lighthouse_seeds(settings_)) {
+        const auto it = convoy_->members().find(seed);
+        if (seed != address_ && it == convoy_->members().end()) others.push_back(seed);
+    }
+    std::erase_if(told_, [&](const auto& item) {
+        return std::find(others.begin(), others.end(), item.first) == others.end();
+    });
+    for (const std::string& other : others) told_.try_emplace(other, 0);
+    lamp_->others(std::move(others));
+}
+
+bool Lighthouse::confirmed() const {
+    const auto at = lamp_->confirmed();
+    return at && clock_.now() - *at <= kConfirmedFor;
+}
+
+// ---- time ----
+
+void Lighthouse::tick() {
+    const TimePoint now = clock_.now();
+    ticks_at_ = TimePoint::max();
+    if (convoy_->next() <= now) {
+        convoy::Actions out;
+        convoy_->tick(now, out);
+        carry(out);
+        if (convoy_->me().life != life_) {
+            life_ = convoy_->me().life;
+            mailer_->life(life_);
+        }
+    }
+    if (const auto due = lamp_->next(); due && *due <= now) {
+        lamp::Actions out;
+        lamp_->tick(now, out);
+        carry(std::move(out));
+    }
+    if (now >= next_confirm_) {
+        next_confirm_ = now + kConfirmEvery;
+        lamp::Actions out;
+        lamp_->confirm(++last_ticket_, now + kAnswerWithin, now, out);    // nobody waits for it
+        carry(std::move(out));
+    }
+    if (now >= next_muster_) {
+        next_muster_ = now + kMusterEvery;
+        muster_.tick(now);
+        if (now >= next_whole_) {    // makes up for what was lost with a connection
+            next_whole_ = now + kWholeEvery;
+            for (auto& [address, told] : told_) told = 0;
+        }
+        muster_changed();
+    }
+    if (now >= next_crew_) {
+        next_crew_ = now + kCrewEvery;
+        look_after_crew();
+    }
+    TimePoint due = std::min({convoy_->next(), next_confirm_, next_muster_, next_crew_});
+    if (const auto next = lamp_->next()) due = std::min(due, *next);
+    tick_at(due);
+}
+
+void Lighthouse::tick_at(TimePoint when) {
+    if (when >= ticks_at_) return;
+    ticks_at_ = when;
+    reactor_.cancel(tick_timer_);
+    tick_timer_ = reactor_.at(when, [this] { tick(); });
+}
+
+void Lighthouse::look_after_crew() {
+    const TimePoint now = clock_.now();
+    const auto step = steward_.next(lamp_->decree(), convoy_->members(), now);
+    if (!step) return;
+    event(LogLevel::Info, "crew_change",
+          {kv("in", step->in.address), kv("disk", step->in.disk),
+           kv("in_place_of", step->in_place_of ? step->in_place_of->address : "nobody")});
+    lamp::Actions out;
+    lamp_->change_crew(step->in, step->in_place_of, now, out);
+    carry(std::move(out));
+}
+
+// ---- the end ----
+
+void Lighthouse::stop() {
+    if (stopping_since_ != TimePoint{}) return;
+    stopping_since_ = clock_.now();
+    event(LogLevel::Info, "lighthouse_stopping", {kv("calls", calls_->under_way())});
+    calls_->stop();
+    convoy::Actions out;
+    convoy_->leave(stopping_since_, out);
+    carry(out);
+}
+
+void Lighthouse::look_after_stop() {
+    if (stopping_since_ == TimePoint{}) return;
+    const Duration stopping = clock_.now() - stopping_since_;
+    if (stopping < kEndAfter || (stopping < kEndAtLast && calls_->under_way() > 0)) return;
+    reactor_.stop();
+}
+
+std::string Lighthouse::counters_text() const {
+    const signal::Mailer::Counts& m = mailer_->counts();
+    return fmt::format(
+        "beats={} ends={} replaces={} reads={} refused={} unsettled={} pilots={} servers={} failed_writes={} "
+        "mail_sent={} mail_bytes={} mail_dropped={} mail_spoilt={}",
+        counts_.beats, counts_.ends, counts_.replaces, counts_.reads, counts_.refused, counts_.unsettled,
+        gallery_.pilots(), muster_.servers().size(), store_->failed_writes(), m.sent, m.sent_bytes, m.dropped,
+        m.spoilt);
+}
+
+}    // namespace shaletray::lighthouse
--- /dev/null
+++ b/src/net/waker.h
@@ -0,0 +1,33 @@
+// Lets other threads call the reactor's one: whatever they did, the task runs in a turn after it.
+#pragma once
+
+#include <Poco/Net/SocketNotification.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <atomic>
+#include <functional>
+
+#include "net/reactor.h"
+
+namespace shaletray {
+
+class Waker {
+public:
+    // Throws std::runtime_error where the system has no pipe left.
+    Waker(Reactor& reactor, std::function<void()> task);
+    ~Waker();
+    Waker(const Waker&) = delete;
+    Waker& operator=(const Waker&) = delete;
+    void wake();    // from any thread
+
+private:
+    void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
+
+    Reactor& reactor_;
+    std::function<void()> task_;
+    Poco::Net::StreamSocket reads_;    // a pipe's end; what POCO makes of it is only waited on
+    int reading_ = -1, writing_ = -1;
+    std::atomic<bool> woken_{false};
+};
+
+}    // namespace shaletray
--- a/src/pilot/pilot.cpp
+++ b/src/pilot/pilot.cpp
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 
-#include "http/answer.h"
-#include "http/message.h"
 #include "station/log_sink.h"
 
 namespace shaletray::pilot {
@@ -23,35 +21,6 @@
 constexpr Duration kAcceptOn = 2200ms, kEndBefore = 500ms;
 constexpr std::size_t kOwnDescriptors = 260;    // files outside the disk folder, and the loop's own
 constexpr double kClientShare = 0.65;           // of the others
-constexpr std::size_t kReadyCallers = 16;
-constexpr Duration kReadyPatience = 5s;
-
-// GET /readiness, whatever else is asked there is not known.
-class ReadyTalk final : public Talk {
-public:
-    explicit ReadyTalk(std::function<bool()> ready) : ready_(std::move(ready)) {}
-    Next take(http::Buffer& in, std::string& out) override {
-        for (;;) {
-            const http::Status status = parser_.parse(in);
-            if (status == http::Status::More) return Next::Wait;
-            if (status == http::Status::Bad) {
-                out += write_answer(400, "", "", false);
-                return Next::End;
-            }
-            const std::string_view target = parser_.target(in);
-            const bool known = target.substr(0, target.find('?')) == "/readiness";
-            const bool keep = parser_.keep_alive();
-            out += write_answer(known ? ready_() ? 200 : 503 : 404, "", "", keep);
-            in.consume(parser_.size());
-            parser_.reset();
-            if (!keep) return Next::End;
-        }
-    }
-
-private:
-    std::function<bool()> ready_;
-    http::Parser parser_{http::Parser::Kind::Request};
-};
 
 std::vector<std::string> lighthouse_seeds(const station::NodeSettings& s) {
     std::vector<std::string> seeds;
@@ -117,12 +86,7 @@
         Listener::listen(settings_.frontend),
         static_cast<std::size_t>(static_cast<double>(sockets_of(settings_)) * kClientShare),
         [this] { return ready(); });
-    Poco::Net::ServerSocket readiness;
-    readiness.bind(Poco::Net::SocketAddress(settings_.readiness), true, false);
-    readiness.listen(64);
-    readiness_ = std::make_unique<TalkServer>(
-        reactor_, readiness, TalkServer::Limits{kReadyCallers, kReadyPatience, true},
-        [this] { return std::make_unique<ReadyTalk>([this] { return ready(); }); });
+    readiness_ = serve_readiness(reactor_, settings_.readiness, [this] { return ready(); });
     event(LogLevel::Info, "pilot_started",
           {kv("address", address_), kv("life", life_), kv("zone", settings_.zone)});
 }
--- a/src/pilot/pilot.h
+++ b/src/pilot/pilot.h
@@ -7,8 +7,8 @@
 #include "channel/fleet.h"
 #include "channel/passage.h"
 #include "convoy/convoy.h"
+#include "net/call_server.h"
 #include "net/listener.h"
-#include "net/talk_server.h"
 #include "pilot/desk.h"
 #include "pilot/lookout.h"
 #include "signal/mailer.h"
@@ -46,9 +46,9 @@
     void lighthouses_changed();
 
     station::NodeSettings settings_;
+    SystemClock clock_;
     std::string address_;
     std::uint64_t life_;
-    SystemClock clock_;
     Timers timers_;
     Counters counters_;
     Reactor reactor_{clock_, timers_};
@@ -60,7 +60,7 @@
     std::unique_ptr<signal::Mailer> mailer_;
     std::unique_ptr<Desk> desk_;
     std::unique_ptr<Listener> listener_;
-    std::unique_ptr<TalkServer> readiness_;
+    std::unique_ptr<CallServer> readiness_;
     Timers::Id tick_timer_ = 0;
     TimePoint next_peers_{}, next_fleet_{}, heard_most_{};
     TimePoint stopping_since_{};
