--- a/src/net/call_server.h
+++ b/src/net/call_server.h
@@ -48,8 +48,7 @@
         std::size_t head = 8 * 1024;            // bytes
         std::size_t body = 64 * 1024 * 1024;    // bytes, unless `body_of` says less
         std::size_t held = 96 * 1024 * 1024;    // bytes of all calls together that were not taken yet
-        Duration patience =
-            std::chrono::seconds(3);     // for a head, from its first byte on
+        Duration patience = std::chrono::seconds(3);    // for a head, from its first byte on
         std::size_t pace = 64 * 1024;    // bytes a second that a body has to bring, after `patience`
         Duration idle = std::chrono::seconds(30);    // between two calls
     };
