Let an idle caller make room only once another one has come, and test calls and commands

The call server closed the connection that was idle longest whenever all were taken, also where nobody waited to be accepted: a connection whose call was on its way was ended. Seen in the test of it, which hung by that. The server of calls and the commands get their tests.

--- a/src/net/call_server.cpp
+++ b/src/net/call_server.cpp
@@ -105,15 +105,13 @@
 
 // False where there was nothing more to accept.
 bool CallServer::accept() {
-    if (busy_.size() + idle_.size() >= limits_.most) {
-        if (idle_.empty()) {
-            pause_accepting();    // all have a call under way: who comes waits
-            return false;
-        }
-        close(*idle_.front());
+    if (busy_.size() >= limits_.most) {    // all have a call under way: who comes waits
+        pause_accepting();
+        return false;
     }
     try {
         const Poco::Net::StreamSocket taken = socket_.acceptConnection();
+        if (busy_.size() + idle_.size() >= limits_.most) close(*idle_.front());
         auto c = std::make_unique<Connection>(*this);
         c->since = reactor_.clock().now();
         c->stream.adopt(taken);
