End an engine's timers with it: a pilot crashed when a service lost its last route

Ruled out: the desk's own requests (none open there). Cause: the module's next tick was a timer of an engine that was gone.

--- a/include/valehall/control.h
+++ b/include/valehall/control.h
@@ -37,6 +37,7 @@
     Duration give_up{0};    // the client's total patience over all of its tries
     double worth = 1.0;
     double late_share = 0.0;    // part of the worth that an answer after the aim still earns
+    int max_attempts = 0;       // of a request, where that is below send_cap; 0: not stated
 
     bool operator==(const ClassSettings&) const = default;
 };
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -32,6 +32,13 @@
     take_limits(settings);
 }
 
+Engine::~Engine() {
+    for (auto& [id, request] : requests_) {
+        timers_.cancel(request.overdue);
+        for (Attempt& attempt : request.attempts) timers_.cancel(attempt.timeout);
+    }
+}
+
 void Engine::take_limits(const valehall::Settings& settings) {
     most_open_ = static_cast<std::size_t>(std::max(1, settings.max_open));
     most_attempts_ = static_cast<std::size_t>(std::max(0, settings.send_cap));
@@ -328,7 +335,9 @@
 }
 
 void Engine::perform(const valehall::SetTimer& action) {
-    timers_.at(action.at, [this, token = action.token] { feed(valehall::TimerFired{token}); });
+    timers_.at(action.at, [this, token = action.token, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired()) feed(valehall::TimerFired{token});
+    });
 }
 
 void Engine::perform(const valehall::Probe& action) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -154,6 +154,7 @@
 public:
     Engine(const valehall::Settings& settings, std::uint64_t seed, const Clock& clock, Timers& timers,
            Counters& counters);
+    ~Engine();    // its timers end with it; no front is told
     Engine(const Engine&) = delete;
     Engine& operator=(const Engine&) = delete;
 
@@ -303,6 +304,8 @@
     bool handed_over_ = false;
     std::vector<ClassCounts*> by_class_;    // in counters_
     // An action's effects wait until all actions before them are done. Kept for their memory.
+    // Held by the module's timers, which outlive the engine.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::vector<valehall::Event> events_;
     std::vector<valehall::Action> actions_;
     bool feeding_ = false;
--- a/src/module/attempts.cpp
+++ b/src/module/attempts.cpp
@@ -66,7 +66,7 @@
     Attempt& a = r.attempts.back();
     const ClassSettings& c = cls(r);
     if (a.ran != Ran::Out || a.stopped || r.streaming || !s_.may_cancel || c.repeat == Repeat::Unsafe) return;
-    if (static_cast<int>(r.attempts.size()) >= s_.send_cap || retries(now) < 1.0) return;
+    if (static_cast<int>(r.attempts.size()) >= most_attempts(r) || retries(now) < 1.0) return;
     if (c.repeat == Repeat::Keyed && now - r.attempts.front().sent + kBusyTick >= c.window) return;
     if (now + usual(r) > std::min(r.deadline, r.arrived + c.aim)) return;
     a.stopped = true;
--- a/src/module/choice.cpp
+++ b/src/module/choice.cpp
@@ -19,7 +19,8 @@
         if (first == nullptr || c.repeat == Repeat::Safe) return true;
         return c.repeat == Repeat::Keyed && c.group == KeyGroup::All;
     }
-    if (r.streaming || static_cast<int>(r.attempts.size()) >= s_.send_cap || now >= r.deadline) return false;
+    if (r.streaming || static_cast<int>(r.attempts.size()) >= most_attempts(r) || now >= r.deadline)
+        return false;
     if (target->entry.state != HostState::Healthy) return false;    // drains: nothing new, at once
     if (first == nullptr || c.repeat == Repeat::Safe) return true;
     if (c.repeat == Repeat::Unsafe || now - first->sent >= c.window) return false;
--- a/src/module/gateway_state.h
+++ b/src/module/gateway_state.h
@@ -149,6 +149,10 @@
     const ClassSettings& cls(const Request& r) const {
         return s_.classes[static_cast<std::size_t>(r.ask.class_index)];
     }
+    int most_attempts(const Request& r) const {
+        const int own = cls(r).max_attempts;
+        return own > 0 ? std::min(own, s_.send_cap) : s_.send_cap;
+    }
     int place_in_set(int member, int first) const {
         return ((member - first) % s_.gateways + s_.gateways) % s_.gateways;
     }
--- a/src/pilot/desk.cpp
+++ b/src/pilot/desk.cpp
@@ -17,7 +17,9 @@
 // Advice where servers have no room: spread, so that those turned away do not come back together.
 constexpr Duration kComeBackLeast = 40ms, kComeBackSpread = 120ms;
 constexpr Duration kDial = 1s;
-constexpr Duration kIdle = 5s;        // kept connections, where servers state nothing
+constexpr Duration kIdle = 5s;    // kept connections, where servers state nothing
+// Parts of the rule on repeats that are used: each pilot measures on its own windows.
+constexpr double kRatioUsed = 0.8, kSlackUsed = 0.35;
 constexpr double kLateShare = 0.3;    // an answer after the aim still earns a part
 constexpr int kMostOpen = 2000;       // requests of one service
 
@@ -36,6 +38,7 @@
                                                : route.timeout / 2;
     c.give_up = route.timeout;
     c.late_share = kLateShare;
+    c.max_attempts = route.max_attempts;
     return c;
 }
 
@@ -302,6 +305,8 @@
     s.may_probe = true;
     s.max_retry_after = 1s;
     s.max_open = kMostOpen;
+    s.retry_start = 0.0;    // what an earlier life had may be spent
+    s.retry_refunds = true;
     s.classes.emplace_back();
     Line& made = *lines_.emplace(service, std::make_unique<Line>(*this, service, s, random_())).first->second;
     set_up(made);
@@ -325,6 +330,10 @@
         s.send_cap = std::max(s.send_cap, route.max_attempts);
     }
     if (s.classes.empty()) s.classes.emplace_back();    // nothing goes there now
+    const double part = kSlackUsed * settings_.retry_slack / pilots_;
+    s.retry_share = kRatioUsed * settings_.retry_ratio;
+    s.retry_burst = std::max(1.0, part);
+    s.retry_refill_per_s = part / std::chrono::duration<double>(settings_.retry_window).count();
     const bool same = before == s.classes && limits == static_cast<const valehall::RequestLimits&>(s);
     if (same && !line.class_of_route.empty()) return;
     const std::vector<int> places = line.engine.adopt(s);
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -309,5 +309,28 @@
     EXPECT_EQ(timers.next(), std::nullopt);
 }
 
+// Seen as a pilot that ended by itself (139) when a configuration took a service's last route away: the
+// module's next tick reached an engine that was gone.
+TEST_F(EngineTest, TimersThatOutliveAnEngineDoNothing) {
+    Timers timers;
+    Counters counters;
+    TestFront front;
+    {
+        Engine engine(parse_config(test::config_text("127.0.0.1:1")).settings, 1, clock_, timers, counters);
+        engine.connect(*this, *this, *this);
+        valehall::HostList list;
+        list.hosts.emplace_back();
+        list.hosts.back().host = HostId{1};
+        engine.list_heard(std::move(list));
+        Arrival arrival;
+        arrival.budget = 500ms;
+        engine.take(front, std::move(arrival));
+        ASSERT_GT(timers.size(), 0u);
+    }
+    clock_.time += 10s;
+    timers.run_due(clock_.now());
+    EXPECT_EQ(front.answers(), 0);
+}
+
 }    // namespace
 }    // namespace shaletray
