Ask again for what differs after 1.5 s at the earliest in a large convoy

A start of thousands had each process ask for nearly all twice a second while the others still came up.

--- a/src/convoy/convoy.cpp
+++ b/src/convoy/convoy.cpp
@@ -33,7 +33,7 @@
 constexpr Duration kEagerDelay = 10ms, kPace = 100ms, kPaceLarge = 250ms;
 constexpr Duration kStill = 1s;    // without a change here, after which another's sum should be the same
 constexpr int kAgreed = 6;
-constexpr Duration kShortestSync = 500ms, kLongestSync = 16s;
+constexpr Duration kShortestSync = 500ms, kShortestSyncLarge = 1500ms, kLongestSync = 16s;
 constexpr int kSeedRounds = 8;         // between looks at a seed that is not known to run
 constexpr int kLighthouseTries = 3;    // of each seed, before a lighthouse goes on without it
 constexpr Duration kLongestJoin = 2s, kUnjoined = 150ms;
@@ -247,6 +247,7 @@
 
     std::size_t draw(std::size_t below) { return static_cast<std::size_t>(random_() % below); }
     bool large() const { return roll_.here() >= kMiddle; }
+    Duration shortest_sync() const { return large() ? kShortestSyncLarge : kShortestSync; }
     int limit() const { return kRounds * static_cast<int>(std::bit_width(roll_.here() + 1)) + 2; }
     int eager() const { return large() ? kEagerLarge : kEager; }
     std::uint64_t digest() const { return roll_.digest() ^ self_.sum; }
@@ -875,7 +876,7 @@
     // All that were met lately know the same lives and versions: those are no news any more.
     void settled() {
         agreed_ = 0;
-        sync_wait_ = kShortestSync;
+        sync_wait_ = shortest_sync();
         std::erase_if(news_, [&](Record* r) {
             if (r->told < eager() || r->member->state == State::Doubted) return false;
             r->news = false;
@@ -959,7 +960,7 @@
             if (pull_->join) {
                 whole(from, at, now);
             } else {
-                sync_wait_ = pull_->news ? kShortestSync : std::min(2 * sync_wait_, kLongestSync);
+                sync_wait_ = pull_->news ? shortest_sync() : std::min(2 * sync_wait_, kLongestSync);
                 sync_at_ = now + sync_wait_;
             }
             pull_.reset();
@@ -1028,6 +1029,7 @@
             std::find_if(seeds_.begin(), seeds_.end(), [&](const Seed& s) { return s.address == from; });
         if (seed != seeds_.end()) seed->done = true;
         join_at_ = now;
+        sync_at_ = now + shortest_sync();
         push_soon();
         if (p.lighthouse && p.joined) {
             joined_ = true;
