--- a/include/valehall/control.h
+++ b/include/valehall/control.h
@@ -71,6 +71,9 @@
     // Only what may have reached a server counts: an attempt that could not connect, or was never sent, takes
     // no token, nor does the one after it that is then the first to arrive.
     bool retry_refunds = false;
+    double latency_goal =
+        0.3;                   // of the aim: where answers take longer on average, less is let out at once,
+    double least_out = 2.0;    // but this many for each server, over all gateways
 
     bool operator==(const RequestLimits&) const = default;
 };
--- a/src/channel/fleet.cpp
+++ b/src/channel/fleet.cpp
@@ -112,6 +112,13 @@
     }));
 }
 
+double Fleet::mean_capacity(const std::string& service) const {
+    const valehall::HostList all = list(service);
+    double sum = 0.0;
+    for (const valehall::HostEntry& host : all.hosts) sum += host.rating;
+    return all.hosts.empty() ? 0.0 : sum / static_cast<double>(all.hosts.size());
+}
+
 const Hosts::Host* Fleet::find(HostId host) const {
     const auto it = hosts_.find(host);
     return it == hosts_.end() || it->second.entry.state == valehall::HostState::Gone ? nullptr
--- a/src/channel/fleet.h
+++ b/src/channel/fleet.h
@@ -29,6 +29,8 @@
     // The whole list of one service.
     valehall::HostList list(const std::string& service) const;
     std::size_t in_service(const std::string& service) const;
+    // Requests that one of its servers works on at once; 0 where there is none.
+    double mean_capacity(const std::string& service) const;
 
     const Host* find(HostId host) const override;
     bool may_begin(HostId host, TimePoint now) const override;
--- a/src/module/pressure.cpp
+++ b/src/module/pressure.cpp
@@ -3,9 +3,7 @@
 
 namespace valehall {
 
-constexpr double kLatencyGoal = 0.3;     // of the aim: above this the gateway's limit shrinks
 constexpr double kBeyondRoom = 0.5;      // of the limit and of the latency goal, for requests beyond quota
-constexpr double kLeastOut = 2.0;        // and the least that the limit falls to
 constexpr int kSlowAfter = 5;            // times the class's usual latency: far over it
 constexpr double kSlowHalfLife = 4.0;    // seconds
 constexpr double kSlowSeen = 2.5;        // slow attempts of a class at a server before it may stand out,
@@ -16,11 +14,11 @@
 void Gateway::Impl::pressed(TimePoint now, double by) {
     lateness_ = 0.95 * lateness_ + 0.05 * by;
     const double n = static_cast<double>(servers_.size());
-    if (lateness_ > kLatencyGoal && now - limit_cut_ > 200ms) {
+    if (lateness_ > s_.latency_goal && now - limit_cut_ > 200ms) {
         const double used = std::min(limit_, 1.2 * static_cast<double>(out_ + 1));
-        limit_ = std::max(1.0 + kLeastOut * n / s_.gateways, used * 0.85);
+        limit_ = std::max(1.0 + s_.least_out * n / s_.gateways, used * 0.85);
         limit_cut_ = now;
-    } else if (lateness_ <= kLatencyGoal && static_cast<double>(out_) > 0.8 * limit_) {
+    } else if (lateness_ <= s_.latency_goal && static_cast<double>(out_) > 0.8 * limit_) {
         limit_ = std::min(100.0 * n, limit_ + std::max(1.0, n / 4) / limit_);
     }
 }
@@ -30,7 +28,7 @@
 bool Gateway::Impl::beyond_pays(const Request& r) const {
     const PlanSettings& p = plan(r.ask.plan_index);
     if (r.counted || r.beyond || p.over_worth <= p.over_cost) return false;
-    return lateness_ < kBeyondRoom * kLatencyGoal && static_cast<double>(out_) < kBeyondRoom * limit_;
+    return lateness_ < kBeyondRoom * s_.latency_goal && static_cast<double>(out_) < kBeyondRoom * limit_;
 }
 
 // Part of one class may hang at a server that answers all else quickly: then neither silence nor errors show
--- a/src/pilot/desk.cpp
+++ b/src/pilot/desk.cpp
@@ -20,6 +20,8 @@
 constexpr Duration kIdle = 5s;    // kept connections, where servers state nothing
 // Parts of the rule on repeats that are used: each pilot measures on its own windows.
 constexpr double kRatioUsed = 0.8, kSlackUsed = 0.35;
+// Work alone may take a good part of the aim: less is let out only where queues are what takes the time.
+constexpr double kLatencyGoal = 0.85;
 constexpr double kLateShare = 0.3;    // an answer after the aim still earns a part
 constexpr int kMostOpen = 2000;       // requests of one service
 
@@ -65,7 +67,6 @@
     Engine engine;
     ServerPool pool;
     std::unordered_map<std::string, int> class_of_route;
-    bool wanted = false;    // by the chart in force
 };
 
 // One request, between its client's connection and the engine.
@@ -321,19 +322,19 @@
     const valehall::RequestLimits limits = s;
     s.classes.clear();
     s.send_cap = 1;
-    for (const chart::Route& route : table_ ? table_->chart().routes : std::vector<chart::Route>{}) {
-        const bool here = std::any_of(route.to.begin(), route.to.end(), [&](const chart::Share& share) {
-            return share.service == line.service;
-        });
-        if (!here) continue;
-        s.classes.push_back(class_of(route));
-        s.send_cap = std::max(s.send_cap, route.max_attempts);
+    if (const auto here = routes_to_.find(line.service); here != routes_to_.end()) {
+        for (const chart::Route* route : here->second) {
+            s.classes.push_back(class_of(*route));
+            s.send_cap = std::max(s.send_cap, route->max_attempts);
+        }
     }
     if (s.classes.empty()) s.classes.emplace_back();    // nothing goes there now
     const double part = kSlackUsed * settings_.retry_slack / pilots_;
     s.retry_share = kRatioUsed * settings_.retry_ratio;
     s.retry_burst = std::max(1.0, part);
     s.retry_refill_per_s = part / std::chrono::duration<double>(settings_.retry_window).count();
+    s.latency_goal = kLatencyGoal;
+    s.least_out = std::max(2.0, fleet_.mean_capacity(line.service));    // what surely finds a place
     const bool same = before == s.classes && limits == static_cast<const valehall::RequestLimits&>(s);
     if (same && !line.class_of_route.empty()) return;
     const std::vector<int> places = line.engine.adopt(s);
@@ -346,24 +347,24 @@
     health_checks_.clear();
     for (const chart::Service& service : table_->chart().services)
         health_checks_[service.name] = service.health_check;
-    std::set<std::string> wanted;
+    routes_to_.clear();
     for (const chart::Route& route : table_->chart().routes) {
-        for (const chart::Share& share : route.to) wanted.insert(share.service);
-    }
-    for (const std::string& service : wanted) line(service);
-    for (auto it = lines_.begin(); it != lines_.end();) {
-        Line& l = *it->second;
-        l.wanted = wanted.contains(l.service);
-        set_up(l);
-        // Its requests under way end first.
-        it = !l.wanted && l.engine.open_requests() == 0 ? lines_.erase(it) : std::next(it);
+        for (const chart::Share& share : route.to) {
+            std::vector<const chart::Route*>& here = routes_to_[share.service];
+            if (here.empty() || here.back() != &route) here.push_back(&route);
+        }
     }
+    for (const auto& [service, routes] : routes_to_) line(service);
+    // A service that nothing leads to any more keeps its engine, with what it learned: it may come back, and
+    // an engine that rests costs nothing but its memory.
+    for (auto& [service, line] : lines_) set_up(*line);
 }
 
 void Desk::servers_changed(const std::set<std::string>& services) {
     for (const std::string& service : services) {
         const auto it = lines_.find(service);
         if (it == lines_.end()) continue;
+        set_up(*it->second);
         it->second->engine.list_heard(fleet_.list(service));
         it->second->pool.list_changed();
     }
--- a/src/pilot/desk.h
+++ b/src/pilot/desk.h
@@ -79,7 +79,8 @@
     channel::Tongue tongue_;
     ConnectionBudget sockets_;
     std::shared_ptr<const chart::Table> table_;
-    std::unordered_map<std::string, std::string> health_checks_;    // by service
+    std::unordered_map<std::string, std::vector<const chart::Route*>> routes_to_;    // of table_, by service
+    std::unordered_map<std::string, std::string> health_checks_;                     // by service
     std::unordered_map<std::string, std::unique_ptr<Line>> lines_;
     std::unordered_map<std::uint64_t, std::unique_ptr<Open>> open_;
     std::unordered_map<std::string, std::deque<std::uint64_t>> waiting_;    // for units, by tenant
