Work on overlapping requests of a connection at the same time, answered in their order

A client that sends further requests before its first is answered had them wait one for another. Up to 16 of one connection are open at once now, where the door says of each that it overlaps (the platform in service never says so, and serves as before). What must not run twice is begun alone: behind an answer that is broken off its client may send it again. Where a connection is to end (a stop), it ends behind the last that was begun, so that none of those is lost; what comes behind is not begun. A client that leaves has all of them withdrawn.

Ruled out: to end the connection with the first answer after a stop, as before; requests behind it that servers work on would be lost.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -33,6 +33,7 @@
 }
 
 Engine::~Engine() {
+    timers_.cancel(tick_);
     for (auto& [id, request] : requests_) {
         timers_.cancel(request.overdue);
         for (Attempt& attempt : request.attempts) timers_.cancel(attempt.timeout);
@@ -334,10 +335,10 @@
     forget_if_done(action.request);
 }
 
+// The module only ever brings its one timer forward, and ignores what that overtakes.
 void Engine::perform(const valehall::SetTimer& action) {
-    timers_.at(action.at, [this, token = action.token, alive = std::weak_ptr<bool>(alive_)] {
-        if (!alive.expired()) feed(valehall::TimerFired{token});
-    });
+    timers_.cancel(tick_);
+    tick_ = timers_.at(action.at, [this, token = action.token] { feed(valehall::TimerFired{token}); });
 }
 
 void Engine::perform(const valehall::Probe& action) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -154,7 +154,8 @@
 public:
     Engine(const valehall::Settings& settings, std::uint64_t seed, const Clock& clock, Timers& timers,
            Counters& counters);
-    ~Engine();    // its timers end with it; no front is told
+    // Nothing of it comes due any more. What is owed an answer gets none.
+    ~Engine();
     Engine(const Engine&) = delete;
     Engine& operator=(const Engine&) = delete;
 
@@ -299,13 +300,13 @@
     Manners manners_;
     std::vector<valehall::Allowance> told_;    // kept for its memory
     std::unordered_map<RequestId, Request> requests_;
+    Timers::Id tick_ = 0;    // the module's
     std::uint32_t last_request_ = 0;
     std::size_t owed_ = 0;
     bool handed_over_ = false;
     std::vector<ClassCounts*> by_class_;    // in counters_
     // An action's effects wait until all actions before them are done. Kept for their memory.
     // Held by the module's timers, which outlive the engine.
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::vector<valehall::Event> events_;
     std::vector<valehall::Action> actions_;
     bool feeding_ = false;
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -22,6 +22,10 @@
 constexpr std::size_t kReadRoom = 8 * 1024;    // behind a body, so that its buffer grows once
 constexpr int kReady = 200, kNotReady = 503;
 
+Final rejection_answer(const Rejection& rejection) {
+    return {rejection.status, "Content-Type: text/plain\r\n", std::string(rejection.reason) + "\n"};
+}
+
 }    // namespace
 
 // A long request's body on its way. The engine may hold it for longer than there is a client.
@@ -79,7 +83,7 @@
     end_flow();
     end_upload();
     release_body();
-    release_id();
+    for (const auto& o : open_) release(*o);
     --context_.counters.clients_open;
 }
 
@@ -115,10 +119,12 @@
     return asked_ == 0 ? Spare::Silent : asked_ == 1 ? Spare::AskedOnce : Spare::Kept;
 }
 
-void ClientConnection::release_id() {
-    if (id_.empty()) return;
-    context_.open_ids.erase(id_);
-    id_.clear();
+// What was kept for a request that has its answer.
+void ClientConnection::release(Open& open) {
+    context_.held_bodies -= std::exchange(open.held, 0);
+    if (open.id.empty()) return;
+    context_.open_ids.erase(open.id);
+    open.id.clear();
 }
 
 void ClientConnection::on_input() {
@@ -136,11 +142,23 @@
     if (state_ != State::Reading && stream_.input().size() > kAhead) stream_.read_on(false);
 }
 
+// Whether the client's next request may be looked at. While others are open only beside those that overlap;
+// and where the last answer will end the connection, nothing that follows is begun.
+bool ClientConnection::may_read() const {
+    if (state_ == State::Reading) return true;
+    if ((state_ != State::Waiting && state_ != State::Writing) || open_.size() >= kMostOpen) return false;
+    return open_.back()->overlaps && open_.back()->keep_alive && !parked_ && !context_.leaving();
+}
+
 // An answer may be written while its request is still being taken: the loop goes on, and never nests.
 void ClientConnection::process() {
     if (processing_) return;
     processing_ = true;
-    while (state_ == State::Reading) {
+    while (may_read()) {
+        if (parked_) {
+            begin_parked();
+            continue;
+        }
         const http::Status status = parser_.parse(stream_.input());
         if (status == http::Status::Bad) {
             reject(context_.door.faulty(parser_.fault()));
@@ -148,11 +166,12 @@
             take_request();
         } else {
             if (parser_.head_done() && head_at_ == TimePoint{}) head_at_ = context_.reactor.clock().now();
-            if (parser_.expects_continue() && !std::exchange(continued_, true) &&
+            // Behind others it would be read as an answer to them.
+            if (parser_.expects_continue() && open_.empty() && !std::exchange(continued_, true) &&
                 !stream_.send(std::string(kContinue)))
                 close();
             const std::size_t here = parser_.body(stream_.input()).size();
-            if (state_ != State::Reading || here < kTakeFrom || may_hold(here)) break;
+            if (!may_read() || here < kTakeFrom || may_hold(here) || !open_.empty()) break;
             take_request();
         }
     }
@@ -161,25 +180,39 @@
 
 void ClientConnection::take_request() {
     http::Buffer& input = stream_.input();
-    keep_alive_ = parser_.keep_alive();
-    http10_ = parser_.http10();
-    const bool whole = parser_.whole();
+    const bool keep_alive = parser_.keep_alive(), http10 = parser_.http10(), whole = parser_.whole();
     if (whole && context_.door.asks_ready(parser_, input)) {
         next_message();
         const bool ready = context_.ready() && !context_.leaving();
-        answer(ready ? kReady : kNotReady, "", ready ? "ready\n" : "not ready\n");
-        return;
+        Final told{ready ? kReady : kNotReady, "", ready ? "ready\n" : "not ready\n"};
+        return answer(open(keep_alive, http10), std::move(told));
     }
     ++asked_;    // whoever asks for readiness only must not pass for a usual client
     auto request = context_.door.read(parser_, input, context_.reactor.clock().now());
     if (const auto* rejection = std::get_if<Rejection>(&request)) return reject(*rejection);
-    auto& [arrival, id, overlaps] = std::get<Taken>(request);
-    if (!id.empty() && !context_.open_ids.insert(id).second)
+    Taken& taken = std::get<Taken>(request);
+    taken.overlaps = taken.overlaps && whole && !http10;
+    if (open_.empty() || taken.overlaps) return begin(std::move(taken), keep_alive, http10, whole);
+    parked_ = std::make_unique<Parked>(std::move(taken), keep_alive, http10, context_.reactor.clock().now());
+    next_message();
+}
+
+// Its time runs on while it waits for its turn.
+void ClientConnection::begin_parked() {
+    const std::unique_ptr<Parked> parked = std::move(parked_);
+    Arrival& arrival = parked->request.arrival;
+    const Duration waited = context_.reactor.clock().now() - parked->at;
+    arrival.budget = std::max(Duration(0), arrival.budget - waited);
+    begin(std::move(parked->request), parked->keep_alive, parked->http10, true);
+}
+
+// `whole`: it is done with as a message, or else its body is still coming.
+void ClientConnection::begin(Taken&& request, bool keep_alive, bool http10, bool whole) {
+    if (!request.id.empty() && !context_.open_ids.insert(request.id).second)
         return reject({409, "this id is that of an open request"});
-    id_ = std::move(id);
-    if (whole) {
-        next_message();
-    } else {
+    Arrival& arrival = request.arrival;
+    if (!whole) {
+        http::Buffer& input = stream_.input();
         const std::string_view first = parser_.body(input);
         release_body();
         uploaded_ = 0;
@@ -187,16 +220,33 @@
         arrival.payload.upload = upload_;
         ++context_.counters.uploads;
         parser_.drop_body(input, first.size());
+        continued_ = false;
+    } else if (parser_.whole()) {
+        next_message();
     }
-    continued_ = false;
-    enter(State::Waiting);
-    request_ = 0;
+    Open* const o = &open(keep_alive, http10);
+    o->id = std::move(request.id);
+    o->overlaps = request.overlaps;
+    o->unfinished = !whole;
+    o->taking = true;
     passing_up_ = true;    // nothing of the rest before the request's number is known
-    const std::uint64_t ticket = context_.intake.take(*this, std::move(arrival));
+    const std::uint64_t ticket = context_.intake.take(*o, std::move(arrival));
     passing_up_ = false;
-    if (state_ != State::Waiting) return;
-    request_ = ticket;
-    pass_up();
+    // Nothing follows it before this loop goes on: where it is not the last, it was answered.
+    if (open_.empty() || open_.back().get() != o || o->answered) return;
+    o->taking = false;
+    o->ticket = ticket;
+    if (state_ == State::Closed) context_.intake.withdraw(ticket);
+    else pass_up();
+}
+
+ClientConnection::Open& ClientConnection::open(bool keep_alive, bool http10) {
+    Open& o = *open_.emplace_back(std::make_unique<Open>(*this));
+    o.keep_alive = keep_alive;
+    o.http10 = http10;
+    o.held = std::exchange(held_, 0);
+    if (state_ == State::Reading) enter(State::Waiting);
+    return o;
 }
 
 // The message is done with: what follows it is another one.
@@ -204,6 +254,8 @@
     stream_.input().consume(parser_.size());
     parser_.reset();
     parser_.limit(context_.door.limits());
+    continued_ = false;
+    head_at_ = TimePoint{};
 }
 
 // ---- long requests ----
@@ -269,35 +321,90 @@
     stopped_at_ = TimePoint{};
 }
 
-// What is wrong with a request shows after it was taken.
+// What is wrong with a request shows after it was taken; it is the only one then.
 void ClientConnection::turn_back(const Rejection& rejection) {
-    context_.intake.withdraw(request_);
-    reject(rejection);
+    Open& o = *open_.front();
+    context_.intake.withdraw(o.ticket);
+    o.keep_alive = false;
+    answer(o, rejection_answer(rejection));
 }
 
+// The message that has just been read, or a part of it, is answered here.
 void ClientConnection::reject(const Rejection& rejection) {
-    if (rejection.keeps_connection && parser_.whole()) next_message();
-    else keep_alive_ = false;
-    answer(rejection.status, "Content-Type: text/plain\r\n", std::string(rejection.reason) + "\n");
+    Final answer_here = rejection_answer(rejection);
+    const bool stays = rejection.keeps_connection && parser_.whole();
+    const bool keep_alive = stays && parser_.keep_alive(), http10 = parser_.http10();
+    if (stays) next_message();
+    Open& o = open(keep_alive, http10);
+    o.overlaps = stays && !http10;
+    o.unfinished = !stays;
+    answer(o, std::move(answer_here));
 }
 
-void ClientConnection::served(Payload&& payload) {
-    if (payload.flow) pass_on(std::move(payload));
-    else answer(payload.status, payload.head, payload.body);
+// ---- answers ----
+
+void ClientConnection::Open::served(Payload&& payload) { of.answer(*this, std::move(payload)); }
+
+void ClientConnection::Open::refused(Duration wait, Refusal why) {
+    of.answer(*this, of.context_.door.refused(why, wait));
 }
 
-// ---- long answers ----
+void ClientConnection::Open::failed(Failure why, Payload&& payload) {
+    if (says_failure(payload)) of.answer(*this, std::move(payload));
+    else of.answer(*this, of.context_.door.failed(why));
+}
+
+void ClientConnection::answer(Open& o, Final&& final) {
+    Payload payload;
+    payload.status = final.status;
+    payload.head = std::move(final.headers);
+    payload.body = std::move(final.body);
+    answer(o, std::move(payload));
+}
 
-void ClientConnection::pass_on(Payload&& payload) {
+// It may be gone when this returns.
+void ClientConnection::answer(Open& o, Payload&& payload) {
+    o.answered = true;
     if (state_ == State::Closed) return;
-    begin_answer(payload.status);
+    o.answer = std::move(payload);
+    if (o.unfinished) end_upload();
+    release(o);
+    write_answers();
+}
+
+// As many as are there, in their order. The loop goes on, and never nests.
+void ClientConnection::write_answers() {
+    if (writing_) return;
+    writing_ = true;
+    while (state_ == State::Waiting && open_.front()->answered) write(*open_.front());
+    writing_ = false;
+}
+
+// Where the connection is to end, it does behind the last of what was begun: none of that is lost.
+void ClientConnection::write(Open& o) {
+    Payload payload = std::move(o.answer);
+    ++context_.counters.answered[payload.status];
+    cut_short_ = o.unfinished && parser_.head_done() && !parser_.whole();
+    const bool ends = open_.size() == 1 && (context_.leaving() || crowded());
+    keep_alive_ = o.keep_alive && !cut_short_ && !ends;
+    enter(State::Writing);
+    if (payload.flow) return pass_on(std::move(payload), o.http10);
+    if (keep_alive_) payload.head += context_.door.kept_headers();
+    if (!stream_.send(write_answer(payload.status, payload.head, payload.body, keep_alive_))) return close();
+    if (stream_.sent_all()) answered();
+}
+
+// ---- long answers ----
+
+void ClientConnection::pass_on(Payload&& payload, bool http10) {
     const std::optional<std::uint64_t> length = payload.flow->length();
-    framing_ = length ? Body::Stated : http10_ ? Body::UntilClose : Body::Chunked;
+    framing_ = length ? Body::Stated : http10 ? Body::UntilClose : Body::Chunked;
     if (framing_ == Body::UntilClose) keep_alive_ = false;
     flow_ = std::move(payload.flow);
     ++context_.counters.flows_open;
-    if (!stream_.send(write_answer_head(payload.status, headers(payload.head), framing_, length.value_or(0),
-                                        keep_alive_)))
+    if (keep_alive_) payload.head += context_.door.kept_headers();
+    if (!stream_.send(
+            write_answer_head(payload.status, payload.head, framing_, length.value_or(0), keep_alive_)))
         return close();
     const std::shared_ptr<BodyFlow> flow = flow_;    // which the first piece may end
     flow->begin(*this);
@@ -325,38 +432,6 @@
     --context_.counters.flows_open;
 }
 
-void ClientConnection::refused(Duration wait, Refusal why) { answer(context_.door.refused(why, wait)); }
-
-void ClientConnection::failed(Failure why, Payload&& payload) {
-    if (says_failure(payload)) answer(payload.status, payload.head, payload.body);
-    else answer(context_.door.failed(why));
-}
-
-void ClientConnection::answer(Final&& final) { answer(final.status, final.headers, final.body); }
-
-std::string ClientConnection::headers(std::string_view own) const {
-    std::string all(own);
-    if (keep_alive_) all += context_.door.kept_headers();
-    return all;
-}
-
-void ClientConnection::answer(int status, std::string_view own, std::string_view body) {
-    if (state_ == State::Closed) return;
-    begin_answer(status);
-    if (!stream_.send(write_answer(status, headers(own), body, keep_alive_))) return close();
-    if (stream_.sent_all()) answered();
-}
-
-void ClientConnection::begin_answer(int status) {
-    ++context_.counters.answered[status];
-    cut_short_ = parser_.head_done() && !parser_.whole();
-    if (context_.leaving() || crowded() || cut_short_) keep_alive_ = false;
-    end_upload();
-    release_body();
-    release_id();
-    enter(State::Writing);
-}
-
 void ClientConnection::on_sent() {
     if (state_ != State::Writing) return;
     since_ = context_.reactor.clock().now();
@@ -365,7 +440,9 @@
 }
 
 void ClientConnection::answered() {
+    open_.erase(open_.begin());
     if (!keep_alive_) {
+        parked_.reset();
         // Closing over bytes that were not read resets the connection, and the client may lose the answer.
         enter(State::Lingering);
         stream_.end_sending();
@@ -373,9 +450,10 @@
         stream_.read_on(true);
         return;
     }
-    enter(State::Reading);
+    enter(open_.empty() ? State::Reading : State::Waiting);
     begun_ = !stream_.input().empty();
     stream_.read_on(true);
+    write_answers();
     process();
 }
 
@@ -422,14 +500,16 @@
 
 void ClientConnection::close() {
     if (state_ == State::Closed) return;
-    const bool waiting = state_ == State::Waiting;
     enter(State::Closed);
     end_flow();
     end_upload();
     release_body();
-    release_id();
     stream_.close();
-    if (waiting) context_.intake.withdraw(request_);
+    for (const auto& o : open_) {
+        release(*o);
+        o->answer.flow.reset();    // of an answer that waited for its turn
+        if (!o->answered && !o->taking) context_.intake.withdraw(o->ticket);
+    }
     context_.closed(*this);
 }
 
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -1,13 +1,16 @@
-// One client's connection: a request in, its answer out, then the next.
+// One client's connection: a request in, its answer out, then the next. Requests that may overlap are worked
+// on at the same time, and answered in their order.
 #pragma once
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <set>
 #include <string>
 #include <tuple>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 #include "core/engine.h"
 #include "http/answer.h"
@@ -47,7 +50,7 @@
     std::unordered_set<std::string> open_ids{};
 };
 
-class ClientConnection : public Retired, private Front, private StreamOwner, private BodySink {
+class ClientConnection : public Retired, private StreamOwner, private BodySink {
 public:
     ClientConnection(ClientContext& context, const Poco::Net::StreamSocket& socket);
     ~ClientConnection() override;
@@ -62,11 +65,33 @@
 
 private:
     class LongBody;
+    // Reading: nothing is owed. Waiting: for the answer that is to be written next. Writing: that one.
     enum class State { Reading, Waiting, Writing, Lingering, Closed };
+    static constexpr std::size_t kMostOpen = 16;    // requests of one connection
+    // A request, or what was answered at the door, until its answer is written.
+    struct Open : Front {
+        explicit Open(ClientConnection& client) : of(client) {}
+        void served(Payload&& answer) override;
+        void refused(Duration retry_after, Refusal why) override;
+        void failed(Failure why, Payload&& answer) override;
+
+        ClientConnection& of;
+        std::uint64_t ticket = 0;
+        std::string id;
+        std::size_t held = 0;    // of context_.held_bodies
+        bool keep_alive = true, http10 = false, overlaps = false;
+        bool unfinished = false;    // its body was not whole when this began
+        bool taking = false;        // its ticket is not known yet
+        bool answered = false;      // by what follows, which waits for its turn
+        Payload answer;
+    };
+    // Read, but not to be worked on beside others.
+    struct Parked {
+        Taken request;
+        bool keep_alive, http10;
+        TimePoint at;
+    };
 
-    void served(Payload&& answer) override;
-    void refused(Duration retry_after, Refusal why) override;
-    void failed(Failure why, Payload&& answer) override;
     void on_input() override;
     void on_sent() override;
     void on_broken() override;
@@ -78,15 +103,20 @@
     void pass_up();
     void end_upload();
     void turn_back(const Rejection& rejection);
-    void pass_on(Payload&& answer);
-    void answer(Final&& final);
-    void begin_answer(int status);
-    std::string headers(std::string_view own) const;
-    void next_message();
-    void end_flow();
+    bool may_read() const;
     void take_request();
+    void begin_parked();
+    void begin(Taken&& request, bool keep_alive, bool http10, bool whole);
+    Open& open(bool keep_alive, bool http10);
+    void next_message();
     void reject(const Rejection& rejection);
-    void answer(int status, std::string_view own, std::string_view body);
+    void answer(Open& open, Payload&& answer);
+    void answer(Open& open, Final&& final);
+    void release(Open& open);
+    void write_answers();
+    void write(Open& open);
+    void pass_on(Payload&& answer, bool http10);
+    void end_flow();
     void answered();
     void close();
     void enter(State state);
@@ -96,7 +126,6 @@
     bool crowded() const;
     void take_place();
     Duration patience() const;
-    void release_id();
 
     ClientContext& context_;
     Stream stream_;
@@ -105,20 +134,20 @@
     static constexpr std::size_t kTakeFrom = 64 * 1024;
     http::Parser parser_;
     State state_ = State::Reading;
-    std::uint64_t request_ = 0;    // its ticket
-    std::string id_;               // of the request that is open
+    std::vector<std::unique_ptr<Open>> open_;    // in the order of their answers
+    std::unique_ptr<Parked> parked_;
     std::uint64_t asked_ = 0;      // whole requests
     std::size_t discarded_ = 0;    // bytes behind the last answer
     std::pair<Spare, TimePoint> place_{Spare::No, {}};
-    std::size_t held_ = 0;                // of context_.held_bodies
+    std::size_t held_ = 0;                // of context_.held_bodies, for what is being read
     std::shared_ptr<LongBody> upload_;    // of the request that is being passed on
     std::size_t uploaded_ = 0;            // bytes of it that were given
     TimePoint stopped_at_{};              // since when its client is kept waiting
     bool passing_up_ = false;
     std::shared_ptr<BodyFlow> flow_;    // of the answer that is being passed on
     Body framing_ = Body::Stated;
-    bool http10_ = false;
-    bool keep_alive_ = true, continued_ = false, processing_ = false;
+    bool keep_alive_ = true;    // after the answer that is being written
+    bool continued_ = false, processing_ = false, writing_ = false;
     bool cut_short_ = false;    // answered in the middle of a body
     bool begun_ = false;        // some of a request is here
     TimePoint head_at_{};       // when the head of the request that is read was whole
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "gateway_settings.h"
 #include "platform/config.h"
 
@@ -19,12 +21,18 @@
 struct TestFront : Front {
     int served_count = 0, refused_count = 0, failed_count = 0;
     Duration advice{0};
+    bool late = false;
+    std::string says;
     void served(Payload&&) override { ++served_count; }
     void refused(Duration retry_after, Refusal) override {
         ++refused_count;
         advice = retry_after;
     }
-    void failed(Failure, Payload&&) override { ++failed_count; }
+    void failed(Failure why, Payload&& answer) override {
+        ++failed_count;
+        late = why == Failure::Late;
+        says = says_failure(answer) ? answer.body : "";
+    }
     int answers() const { return served_count + refused_count + failed_count; }
 };
 
@@ -46,6 +54,7 @@
         if (refuse_connections_) engine_.attempt_ended(attempt, Outcome::ConnectFailed);
     }
     void cancel(AttemptId) override { ++called_off_; }
+    bool began(AttemptId) const override { return began_; }
     void probe(HostId) override {}
     void tell(PeerId, const std::vector<std::uint8_t>&) override {}
     void subscribe() override {}
@@ -77,7 +86,7 @@
     std::vector<AttemptId> sent_;
     Duration left_{0};
     int called_off_ = 0;
-    bool refuse_connections_ = false;
+    bool refuse_connections_ = false, began_ = true;
 };
 
 // Plans change in service, and use is kept.
@@ -190,6 +199,60 @@
     EXPECT_EQ(engine_.open_requests(), 0U);
 }
 
+// Whatever becomes of attempts: who is told of a refusal may come again, and nothing ran.
+TEST_F(EngineTest, ARefusalPromisesThatNothingRanWherePlatformsWantThat) {
+    engine_.behave({true, true});
+    std::mt19937 random(1);
+    int refused = 0, late = 0, said = 0;
+    for (int i = 0; i < 2000; ++i) {
+        front_ = TestFront{};
+        sent_.clear();
+        const RequestId id = ask(static_cast<int>(random() % 2));
+        bool ran = false;
+        std::string last;
+        for (std::size_t next = 0; front_.answers() == 0 && next < sent_.size(); ++next) {
+            const auto kind = random() % 6;
+            if (kind == 0) {
+                began_ = random() % 2 == 0;
+                pass(600ms);
+                ran = ran || began_;
+            } else if (kind == 1) {
+                engine_.attempt_ended(sent_[next], Outcome::Full);
+            } else if (kind == 2) {
+                engine_.attempt_ended(sent_[next], Outcome::ConnectFailed);
+            } else if (kind == 3) {
+                Payload answer;
+                answer.status = 500;
+                answer.body = last = std::to_string(i + static_cast<int>(next));
+                engine_.attempt_ended(sent_[next], Outcome::Error, {}, std::move(answer));
+                ran = true;
+            } else if (kind == 4) {
+                engine_.attempt_ended(sent_[next], Outcome::Reset);
+                ran = true;
+            } else {
+                began_ = random() % 2 == 0;
+                ran = ran || began_;
+                engine_.give_up_all();
+            }
+            began_ = true;
+            if (front_.answers() == 0 && next + 1 == sent_.size())
+                pass(600ms);    // held until another may go
+        }
+        if (front_.answers() == 0) pass(600ms);
+        ASSERT_EQ(front_.answers(), 1);
+        EXPECT_EQ(front_.refused_count, ran ? 0 : 1);
+        EXPECT_EQ(front_.says, last);
+        refused += front_.refused_count;
+        late += front_.late;
+        said += !front_.says.empty();
+        engine_.withdraw(id);
+        pass(20ms);
+    }
+    EXPECT_GT(refused, 100);
+    EXPECT_GT(late, 100);
+    EXPECT_GT(said, 100);
+}
+
 TEST_F(EngineTest, OneTooManyIsRefusedAtOnceAndToldWhenToComeBack) {
     for (int i = 0; i < 1000; ++i) ask();    // as many as may be open
     ASSERT_EQ(engine_.open_requests(), 1000U);
