Let the limit follow a list of servers that grows one by one at the start

Ruled out: the servers (busiest 1.9 times the mean, nothing shed), the quota (no 429), lateness (p50 84 of 200 ms). Cause: the concurrency limit was set by the first list, which had one server of twelve, and a limit under one never grew, since what is out is counted after the answer.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES = cmake g++ make git libpoco-dev libfmt-dev nlohmann-json3-dev tao-pegtl-dev libcli11-dev libhiredis-dev \
   libxxhash-dev libsqlite3-dev libspdlog-dev
 # For the whole system (deploy/system.toml): pilot and lighthouse.
-SYSTEM_PACKAGES = libgflags-dev libboost1.81-dev libboost-log1.81-dev libboost-json1.81-dev \
+SYSTEM_PACKAGES = ninja-build libgflags-dev libboost1.81-dev libboost-log1.81-dev libboost-json1.81-dev \
   libboost-program-options1.81-dev libcapnp-dev capnproto libleveldb-dev
 # For the tests, the laboratory and its reports, and the format.
 MORE_PACKAGES = libgtest-dev libcriterion-dev gnuplot-nox clang-format
--- a/src/module/servers.cpp
+++ b/src/module/servers.cpp
@@ -34,7 +34,8 @@
     });
     by_draw_.clear();
     for (auto& [id, v] : servers_) by_draw_.push_back(&v);
-    if (limit_ == 0.0) limit_ = fleet::kStartOut * static_cast<double>(servers_.size()) / s_.gateways;
+    const double start = fleet::kStartOut * static_cast<double>(servers_.size()) / s_.gateways;
+    if (limit_cut_ == TimePoint{}) limit_ = std::max(limit_, start);    // lists may grow one by one at first
 }
 
 // A budget may be overdrawn by one request. That hundreds of gateways do not all begin with that, each starts
--- a/tests/control_servers_test.cpp
+++ b/tests/control_servers_test.cpp
@@ -46,6 +46,17 @@
     EXPECT_EQ(sent.count(HostId{2}), 0U);
 }
 
+// Found on a quiet day of a whole system, whose servers become known one by one: the limit was that of a list of
+// one server for good, and 2680 requests were refused while servers stood idle.
+TEST(Health, TheLimitFollowsAListThatGrowsAtTheStart) {
+    Settings settings = wide_open();
+    settings.gateways = 13;
+    Script s(settings);
+    for (const int known : {1, 4, 12}) s.hosts(known);
+    for (int i = 0; i < 8; ++i) s.ask(kSafe);
+    EXPECT_EQ(s.all<Send>().size(), 8U);
+}
+
 TEST(Health, ConnectionsThatBreakNowAndThenDoNotPutAServerOut) {
     // Found on a day when servers cut kept connections: most were held to have ended, and then to be cold.
     Script s(wide_open());
