--- a/tests/control_servers_test.cpp
+++ b/tests/control_servers_test.cpp
@@ -46,8 +46,8 @@
     EXPECT_EQ(sent.count(HostId{2}), 0U);
 }
 
-// Found on a quiet day of a whole system, whose servers become known one by one: the limit was that of a list of
-// one server for good, and 2680 requests were refused while servers stood idle.
+// Found on a quiet day of a whole system, whose servers become known one by one: the limit was that of a list
+// of one server for good, and 2680 requests were refused while servers stood idle.
 TEST(Health, TheLimitFollowsAListThatGrowsAtTheStart) {
     Settings settings = wide_open();
     settings.gateways = 13;
