Never enlarge a crew while the fate of one of its members is open

Log: crew_change in=10.1.0.31 in_place_of=nobody at 15.4 s, three seconds after replace_core took another member: the crew was four with one dead, and when a wiped disk came on top two of four could not vote it in again. Now a newcomer waits until the missing one is unheard for six seconds, and takes its place.

--- a/src/lighthouse/lighthouse.cpp
+++ b/src/lighthouse/lighthouse.cpp
@@ -60,7 +60,7 @@
       store_(std::move(store)),
       muster_(muster_settings(address_, life_, settings_)),
       gallery_(Gallery::Settings{.life = life_}, muster_),
-      steward_(address_) {
+      steward_({address_, store_->loaded().disk}, clock_.now()) {
     const TimePoint now = clock_.now();
     const std::uint64_t seed = std::hash<std::string>{}(address_) ^ life_;
     const std::vector<std::string> seeds = lighthouse_seeds(settings_);
--- a/src/lighthouse/steward.cpp
+++ b/src/lighthouse/steward.cpp
@@ -7,10 +7,22 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kSeenFor = 1s, kUnheardFor = 6s, kTurn = 3s;
+constexpr Duration kSeenFor = 1s, kUnheardFor = 6s, kSaidGoodbye = 3s, kTurn = 3s;
 
 }    // namespace
 
+Steward::Fate Steward::fate(const lamp::Member& member, const std::map<std::string, convoy::Member>& members,
+                            TimePoint now) const {
+    if (member.address == me_.address) return Fate::Here;
+    const auto it = members.find(member.address);
+    if (it == members.end()) return now - started_ > kUnheardFor ? Fate::Away : Fate::Open;
+    const convoy::Member& m = it->second;
+    if (m.state == convoy::State::Alive) return Fate::Here;
+    const bool over = m.state == convoy::State::Gone ? now - m.changed > kSaidGoodbye
+                                                     : now - std::max(m.heard, started_) > kUnheardFor;
+    return over ? Fate::Away : Fate::Open;
+}
+
 std::optional<Steward::Step> Steward::next(const lamp::Decree& decree,
                                            const std::map<std::string, convoy::Member>& members,
                                            TimePoint now) {
@@ -18,12 +30,15 @@
         return std::find_if(decree.crew.begin(), decree.crew.end(),
                             [&](const lamp::Member& m) { return m.address == address; });
     };
-    const auto alive = [&](const std::string& address) {
-        if (address == me_) return true;
-        const auto it = members.find(address);
-        return it != members.end() && it->second.state == convoy::State::Alive;
+    // One whose disk is another one by now has no vote, and so no turn.
+    const auto votes = [&](const lamp::Member& m) {
+        if (m.address == me_.address) return m == me_;
+        const auto it = members.find(m.address);
+        return it != members.end() && it->second.state == convoy::State::Alive &&
+               it->second.facts.disk == m.disk;
     };
-    if (in_crew(me_) == decree.crew.end()) return std::nullopt;
+    const auto mine = in_crew(me_.address);
+    if (mine == decree.crew.end() || !votes(*mine)) return std::nullopt;
     std::optional<Step> step;
     std::map<lamp::Member, TimePoint> seen;
     for (const auto& [address, member] : members) {
@@ -41,14 +56,13 @@
             step->in_place_of = *there;
             continue;
         }
+        bool open = false;
         for (const lamp::Member& old : decree.crew) {
-            const auto it = members.find(old.address);
-            const bool away =
-                old.address != me_ &&
-                (it == members.end() || it->second.state == convoy::State::Gone ||
-                 (it->second.state == convoy::State::Doubted && now - it->second.heard > kUnheardFor));
-            if (away) step->in_place_of = old;
+            const Fate f = fate(old, members, now);
+            if (f == Fate::Away && !step->in_place_of) step->in_place_of = old;
+            open = open || f == Fate::Open;
         }
+        if (open && !step->in_place_of) step.reset();
     }
     seen_ = std::move(seen);
     if (!step) {
@@ -57,7 +71,7 @@
     }
     if (wanted_since_ == TimePoint{}) wanted_since_ = now;
     const auto rank = std::count_if(decree.crew.begin(), decree.crew.end(), [&](const lamp::Member& m) {
-        return m.address < me_ && alive(m.address);
+        return m.address < me_.address && votes(m);
     });
     if (now - wanted_since_ < rank * kTurn) return std::nullopt;
     wanted_since_ = now;    // once a turn
--- a/src/lighthouse/steward.h
+++ b/src/lighthouse/steward.h
@@ -17,16 +17,22 @@
         lamp::Member in;
         std::optional<lamp::Member> in_place_of;
     };
-    explicit Steward(std::string me) : me_(std::move(me)) {}
+    Steward(lamp::Member me, TimePoint now) : me_(std::move(me)), started_(now) {}
     // The step that this lighthouse is to propose now; none: the crew is as it should be, or it is another
-    // one's turn. A newcomer votes once it was seen for a second; a member's place is taken once the member
-    // was unheard for six. Of the crew the first by address acts at once, the others each three seconds
-    // later.
+    // one's turn. A newcomer votes once it was seen for a second. It takes the place of a member of its
+    // address with another disk, else of one that was unheard for six seconds or said goodbye three seconds
+    // ago. While a member's fate is open it waits: a crew with one more of which one is dead bears less than
+    // before. Of the crew the first by address acts at once, the others each three seconds later.
     std::optional<Step> next(const lamp::Decree& decree, const std::map<std::string, convoy::Member>& members,
                              TimePoint now);
 
 private:
-    std::string me_;
+    enum class Fate { Here, Open, Away };
+    Fate fate(const lamp::Member& member, const std::map<std::string, convoy::Member>& members,
+              TimePoint now) const;
+
+    lamp::Member me_;
+    TimePoint started_;
     std::map<lamp::Member, TimePoint> seen_;    // newcomers, and since when
     TimePoint wanted_since_{};
 };
