--- a/src/tide/store.h
+++ b/src/tide/store.h
@@ -22,9 +22,9 @@
 
 struct Quota;
 
-constexpr Duration kGiftAge = std::chrono::milliseconds(300);
-constexpr Duration kHold = std::chrono::milliseconds(500);
-constexpr Duration kHoldStep = std::chrono::milliseconds(125);
+constexpr Duration kGiftAge = std::chrono::milliseconds(200);
+constexpr Duration kHold = std::chrono::milliseconds(300);
+constexpr Duration kHoldStep = std::chrono::milliseconds(75);
 constexpr int kHoldSteps = 5;    // the steps in which kHold may end, and the one that is running
 
 // The integral of 1/divisor over the time in which this life may refill.
@@ -46,7 +46,8 @@
     TimePoint now_{}, until_{};
 };
 
-constexpr int kMostNeighbours = 6;
+constexpr int kNearest = 3, kFurther = 3;    // neighbours on each side
+constexpr int kMostNeighbours = 2 * (kNearest + kFurther);
 
 // What is known between this pilot and a neighbour of one tenant.
 struct Towards {
@@ -69,6 +70,7 @@
     std::array<float, kHoldSteps> given{};
     std::int64_t given_step = 0;    // of the newest of them
     int waiting = 0;
+    double demand = 0.0;                  // requests in the last second, about
     bool used = false, listed = false;    // listed: something may have to be said of it
     TimePoint touched{}, short_at{}, slot{}, woken_at{}, plan_at{};
     std::array<Towards, kMostNeighbours> near{};
--- a/src/tide/tide.cpp
+++ b/src/tide/tide.cpp
@@ -24,7 +24,9 @@
 constexpr Duration kLongestRetry = 1s;
 constexpr Duration kUnconfirmedRetry = 500ms;
 constexpr Duration kWakeAgain = 10ms;
+constexpr double kTell = 0.4;             // of a full store: smaller changes are not told
 constexpr double kChance = 1.0 / 16.0;    // that a gap of one unit is moved after all
+constexpr std::size_t kSmallRing = 16;    // up to so many pilots, the nearest are enough
 constexpr std::size_t kMostStores = 50'000;
 constexpr std::size_t kMostGone = 65'536;
 
@@ -34,6 +36,21 @@
 }
 double parts_down(double units) { return std::floor(units * kParts) / kParts; }
 
+// How far away on the ring the neighbours are. In a large fleet a tenant's requests come to few pilots, far
+// from most units; so there are further ones at growing distances, over which units travel in a few steps.
+std::vector<std::size_t> distances(std::size_t n) {
+    std::vector<std::size_t> all;
+    const auto add = [&](std::size_t d) {
+        if (d >= 1 && d <= n / 2 && (all.empty() || d > all.back())) all.push_back(d);
+    };
+    for (std::size_t d = 1; d <= kNearest; ++d) add(d);
+    if (n <= kSmallRing) return all;
+    const double step = std::pow(static_cast<double>(n) / 2.0 / kNearest, 1.0 / (kFurther + 0.5));
+    double d = kNearest;
+    for (int i = 0; i < kFurther; ++i) add(static_cast<std::size_t>(std::lround(d *= step)));
+    return all;
+}
+
 struct Limit {    // of one tenant; kept for all of them, so it is small
     std::uint64_t id = 0;
     float rate = 0.0F, burst = 0.0F;
@@ -285,8 +302,8 @@
     std::vector<std::string> names;
     if (me != ring_.end() && *me == s_.me) {
         const std::size_t n = ring_.size(), at = static_cast<std::size_t>(me - ring_.begin());
-        for (std::size_t d = 1; d <= kMostNeighbours / 2; ++d)
-            for (const std::size_t i : {(at + d) % n, (at + n - d % n) % n})
+        for (const std::size_t d : distances(n))
+            for (const std::size_t i : {(at + d) % n, (at + n - d) % n})
                 if (i != at && std::find(names.begin(), names.end(), ring_[i]) == names.end())
                     names.push_back(ring_[i]);
     }
@@ -394,7 +411,8 @@
     int n = 0;
     while (n < count && (n < 2 || sum - by[0].first < need)) sum += by[static_cast<std::size_t>(n++)].first;
     const double without = sum - by[0].first;
-    const double part = without > need ? need / without : 1.0;
+    const double more = need + s.demand * seconds(s_.every);    // and the next ones of this pace
+    const double part = without > more ? more / without : 1.0;
     for (int i = 0; i < n; ++i) {
         const auto [g, k] = by[static_cast<std::size_t>(i)];
         s.near[static_cast<std::size_t>(k)].ask = static_cast<float>(g * part + 1.0 / kParts);
@@ -412,7 +430,9 @@
     const double amount = gift(s, k, now);
     const double change = std::fabs(free - amount - (n.knows || free < s.cap ? told(s, n, now) : free));
     const bool asks = n.ask > 0.0F;
-    if (!asks && amount <= 0.0 && change <= unit && !(n.knows && n.told_pressed != pressed)) return false;
+    if (!asks && amount <= 0.0 && change <= std::max(unit, kTell * s.cap) &&
+        !(n.knows && n.told_pressed != pressed))
+        return false;
     d.entry.tenant = s.id;
     d.entry.gift = static_cast<float>(amount);
     d.entry.urgent = asks;
@@ -575,6 +595,7 @@
     }
     Store& s = *found;
     if (s.name.empty()) s.name = tenant;
+    s.demand = s.demand * std::max(0.0, 1.0 - seconds(now - s.touched)) + 1.0;
     s.touched = now;
     if (!flow_.flows(now)) {
         retry_after = kUnconfirmedRetry;
@@ -709,6 +730,8 @@
 
 Tide::Tide(Settings settings, TimePoint now) : impl_(std::make_unique<Impl>(std::move(settings), now)) {}
 Tide::Tide(const Tide& other) : impl_(std::make_unique<Impl>(*other.impl_)) {}
+Tide::Tide(Tide&&) noexcept = default;
+Tide& Tide::operator=(Tide&&) noexcept = default;
 Tide::~Tide() = default;
 void Tide::quotas(const std::map<std::string, Quota>& by_tenant, TimePoint now) {
     impl_->quotas(by_tenant, now);
--- a/src/tide/tide.h
+++ b/src/tide/tide.h
@@ -68,6 +68,8 @@
 public:
     Tide(Settings settings, TimePoint now);
     Tide(const Tide&);    // for tests that explore
+    Tide(Tide&&) noexcept;
+    Tide& operator=(Tide&&) noexcept;
     ~Tide();
     void quotas(const std::map<std::string, Quota>& by_tenant, TimePoint now);    // a new configuration
     void peers(Peers peers, TimePoint now);
--- a/tests/tide/world.h
+++ b/tests/tide/world.h
@@ -104,7 +104,6 @@
 struct Tenant {
     std::string name;
     Quota quota;
-    double per_s = 0.0;              // requests
     std::vector<double> weight{};    // of pilots
 };
 
@@ -203,19 +202,8 @@
                 });
             });
     }
-    void traffic(const Tenant& t) {
-        const double gap = std::exponential_distribution<>(t.per_s)(random);
-        at(now + Duration(static_cast<std::int64_t>(gap * 1e6)), [=, this] {
-            if (t.per_s != rates[t.name]) return;    // another load by now
-            std::discrete_distribution<std::size_t> pick(t.weight.begin(), t.weight.end());
-            request(pick(random), t.name);
-            traffic(t);
-        });
-    }
-    void load(Tenant t) {
-        rates[t.name] = t.per_s;
-        if (t.per_s > 0.0) traffic(t);
-    }
+    // From now on the tenant sends so many requests a second.
+    void load(const Tenant& t, double per_s) { traffic(t, per_s, ++loads_[t.name]); }
 
     // The most grants of the tenant in any window, less what may be granted in it.
     static double excess(const std::vector<Grant>& grants, const std::string& tenant, double most,
@@ -237,7 +225,6 @@
     Duration patience = 150ms;
     double returns = 0.0;    // part of what is granted that never ran
     std::map<std::string, Quota> quotas;
-    std::map<std::string, double> rates;
     std::vector<Pilot> pilots_;
     std::vector<Grant> grants;
     Figures figures;
@@ -290,6 +277,16 @@
         }
         at(now + kBeat, [=, this] { beat(i, life); });
     }
+    void traffic(const Tenant& t, double per_s, std::uint64_t load) {
+        if (per_s <= 0.0) return;
+        const double gap = std::exponential_distribution<>(per_s)(random);
+        at(now + Duration(static_cast<std::int64_t>(gap * 1e6)), [=, this] {
+            if (load != loads_[t.name]) return;
+            std::discrete_distribution<std::size_t> pick(t.weight.begin(), t.weight.end());
+            request(pick(random), t.name);
+            traffic(t, per_s, load);
+        });
+    }
     void request(std::size_t i, const std::string& tenant) {
         ++figures.asked;
         if (!pilots_[i].up) return;
@@ -376,6 +373,7 @@
 
     std::priority_queue<Event> events_;
     std::uint64_t number_ = 0, lives_ = 0;
+    std::map<std::string, std::uint64_t> loads_;
 };
 
 }    // namespace shaletray::tide::world
