--- a/include/valehall/control.h
+++ b/include/valehall/control.h
@@ -63,6 +63,7 @@
     bool may_probe = false;
     Duration max_retry_after{0};
     int max_open = 20000;
+    int sharing = 0;    // gateways that send to the same servers; 0: Settings::gateways
     // Further attempts draw on tokens: one each, whatever became of the attempt before.
     double retry_share = 0.2;           // tokens that each request's first send adds
     double retry_burst = 20.0;          // most tokens kept
@@ -71,9 +72,10 @@
     // Only what may have reached a server counts: an attempt that could not connect, or was never sent, takes
     // no token, nor does the one after it that is then the first to arrive.
     bool retry_refunds = false;
-    double latency_goal =
-        0.3;                   // of the aim: where answers take longer on average, less is let out at once,
-    double least_out = 2.0;    // but this many for each server, over all gateways
+    // Where answers take longer on average than this part of the aim, less is let out at once, but this many
+    // for each server, over all gateways.
+    double latency_goal = 0.3;
+    double least_out = 2.0;
 
     bool operator==(const RequestLimits&) const = default;
 };
--- a/src/fleet/cold_start.cpp
+++ b/src/fleet/cold_start.cpp
@@ -17,7 +17,7 @@
 
 }    // namespace
 
-bool sparse(const Settings& s) { return s.gateways > kStartOut; }
+bool sparse(const Settings& s) { return (s.sharing > 0 ? s.sharing : s.gateways) > kStartOut; }
 
 double cold_share(const Settings& s, TimePoint since, TimePoint now) {
     if (since == TimePoint{} || s.cold <= Duration(0) || now - since >= s.cold) return 1.0;
--- a/src/module/gateway.cpp
+++ b/src/module/gateway.cpp
@@ -59,6 +59,7 @@
         if (!(value >= 0.0) || !std::isfinite(value))
             throw BadSettings("settings: negative figure for retries");
     }
+    if (!(s.latency_goal > 0.0) || s.sharing < 0) throw BadSettings("settings: no such goal or sharing");
     if (s.cold < Duration(0) || s.fall < Duration(0) || !(s.start_capacity >= 0.0)) {
         throw BadSettings("settings: negative figure in the rules");
     }
--- a/src/module/gateway_state.h
+++ b/src/module/gateway_state.h
@@ -153,6 +153,7 @@
         const int own = cls(r).max_attempts;
         return own > 0 ? std::min(own, s_.send_cap) : s_.send_cap;
     }
+    int sharing() const { return s_.sharing > 0 ? s_.sharing : s_.gateways; }
     int place_in_set(int member, int first) const {
         return ((member - first) % s_.gateways + s_.gateways) % s_.gateways;
     }
--- a/src/module/pressure.cpp
+++ b/src/module/pressure.cpp
@@ -16,7 +16,7 @@
     const double n = static_cast<double>(servers_.size());
     if (lateness_ > s_.latency_goal && now - limit_cut_ > 200ms) {
         const double used = std::min(limit_, 1.2 * static_cast<double>(out_ + 1));
-        limit_ = std::max(1.0 + s_.least_out * n / s_.gateways, used * 0.85);
+        limit_ = std::max(1.0 + s_.least_out * n / sharing(), used * 0.85);
         limit_cut_ = now;
     } else if (lateness_ <= s_.latency_goal && static_cast<double>(out_) > 0.8 * limit_) {
         limit_ = std::min(100.0 * n, limit_ + std::max(1.0, n / 4) / limit_);
--- a/src/module/servers.cpp
+++ b/src/module/servers.cpp
@@ -34,7 +34,7 @@
     });
     by_draw_.clear();
     for (auto& [id, v] : servers_) by_draw_.push_back(&v);
-    const double start = fleet::kStartOut * static_cast<double>(servers_.size()) / s_.gateways;
+    const double start = fleet::kStartOut * static_cast<double>(servers_.size()) / sharing();
     if (limit_cut_ == TimePoint{}) limit_ = std::max(limit_, start);    // lists may grow one by one at first
 }
 
@@ -54,8 +54,7 @@
         return v->entry.state == HostState::Healthy && !v->ejected && coldness(*v, now) >= 1.0;
     });
     warm_work_ *= std::exp(-dt / 3.0);
-    const double each =
-        warm > 0 ? warm_work_ / 3.0 / static_cast<double>(warm) : kColdFleetWork / s_.gateways;
+    const double each = warm > 0 ? warm_work_ / 3.0 / static_cast<double>(warm) : kColdFleetWork / sharing();
     for (auto& [id, v] : servers_) {
         const double share = coldness(v, now);
         if (share >= 1.0) {
--- a/src/pilot/desk.cpp
+++ b/src/pilot/desk.cpp
@@ -335,6 +335,7 @@
     s.retry_refill_per_s = part / std::chrono::duration<double>(settings_.retry_window).count();
     s.latency_goal = kLatencyGoal;
     s.least_out = std::max(2.0, fleet_.mean_capacity(line.service));    // what surely finds a place
+    s.sharing = static_cast<int>(pilots_);
     const bool same = before == s.classes && limits == static_cast<const valehall::RequestLimits&>(s);
     if (same && !line.class_of_route.empty()) return;
     const std::vector<int> places = line.engine.adopt(s);
--- a/tests/control_rules_test.cpp
+++ b/tests/control_rules_test.cpp
@@ -387,6 +387,8 @@
     bad([](Settings& s) { s.plans[0].rate = -1.0; });
     bad([](Settings& s) { s.plans[0].max_out = -1; });
     bad([](Settings& s) { s.retry_share = -0.1; });
+    bad([](Settings& s) { s.latency_goal = 0.0; });
+    bad([](Settings& s) { s.sharing = -1; });
 }
 
 }    // namespace
--- a/tests/control_servers_test.cpp
+++ b/tests/control_servers_test.cpp
@@ -140,8 +140,9 @@
     EXPECT_NE(s.last<Send>()->host, HostId{2});
 }
 
-TEST(Overload, LatencyNearTheAimShrinksWhatIsOut) {
-    Script s(wide_open());
+// How many of a hundred requests at once go out, before and after answers took `took` for a while.
+std::pair<std::size_t, std::size_t> sent_at_once(const Settings& settings, Duration took) {
+    Script s(settings);
     s.hosts(4);
     const auto offered = [&] {
         s.clear();
@@ -159,12 +160,32 @@
     std::vector<Send> out = offered();
     const std::size_t before = out.size();
     for (int round = 0; round < 20; ++round) {
-        for (const Send& send : out) s.outcome(send.request, 0, send.host, Outcome::Ok, true, 0.0, 900ms);
+        for (const Send& send : out) s.outcome(send.request, 0, send.host, Outcome::Ok, true, 0.0, took);
         s.pass(1s);
         out = offered();
     }
-    EXPECT_LT(out.size(), before / 2);
-    EXPECT_GT(out.size(), 0U);
+    return {before, out.size()};
+}
+
+TEST(Overload, LatencyNearTheAimShrinksWhatIsOut) {
+    const auto [before, after] = sent_at_once(wide_open(), 900ms);
+    EXPECT_LT(after, before / 2);
+    EXPECT_GT(after, 0U);
+}
+
+// Where work takes a third of the aim, an answer in that time is no sign of pressure.
+TEST(Overload, TheGoalIsASetting) {
+    Settings settings = wide_open();
+    const auto by_default = sent_at_once(settings, 400ms);
+    EXPECT_LT(by_default.second, by_default.first / 2);
+    settings.latency_goal = 0.7;
+    const auto with_more = sent_at_once(settings, 400ms);
+    EXPECT_GE(with_more.second, with_more.first);
+    const std::size_t least = sent_at_once(settings, 900ms).second;
+    EXPECT_LT(least, with_more.first / 2);
+    settings.sharing = 30;    // the least, and the limit at the start, are a part of what all may have out
+    EXPECT_LT(sent_at_once(settings, 900ms).second, least);
+    EXPECT_LT(sent_at_once(settings, 400ms).first, with_more.first / 2);
 }
 
 TEST(Overload, HungAttemptsDoNotUseUpTheLimit) {
