--- a/src/pilot/desk.cpp
+++ b/src/pilot/desk.cpp
@@ -356,8 +356,8 @@
         }
     }
     for (const auto& [service, routes] : routes_to_) line(service);
-    // A service that nothing leads to any more keeps its engine, with what it learned: it may come back, and
-    // an engine that rests costs nothing but its memory.
+    // A service that nothing leads to any more keeps its engine, with what it learned: it may come back. At
+    // rest it costs its memory and a tick each 100 ms.
     for (auto& [service, line] : lines_) set_up(*line);
 }
 
