--- a/src/lighthouse/lighthouse.cpp
+++ b/src/lighthouse/lighthouse.cpp
@@ -35,13 +35,6 @@
     return {503, "{\"error\":\"no majority in time\"}", "Retry-After: 0.1\r\n"};
 }
 
-std::vector<std::string> lighthouse_seeds(const station::NodeSettings& s) {
-    std::vector<std::string> seeds;
-    for (const std::string& seed : s.seeds)
-        seeds.push_back(station::lighthouse_address(station::ip_of(seed), s));
-    return seeds;
-}
-
 muster::Muster::Settings muster_settings(const std::string& me, std::uint64_t life,
                                          const station::NodeSettings& s) {
     muster::Muster::Settings m;
@@ -65,7 +58,7 @@
       checker_(reactor_) {
     const TimePoint now = clock_.now();
     const std::uint64_t seed = std::hash<std::string>{}(address_) ^ life_;
-    const std::vector<std::string> seeds = lighthouse_seeds(settings_);
+    const std::vector<std::string> seeds = station::lighthouse_seeds(settings_);
 
     lamp::Settings l;
     l.me = {address_, store_->loaded().disk};
@@ -132,7 +125,7 @@
 
 void Lighthouse::settings_changed(const station::NodeSettings& settings) {
     settings_.seeds = settings.seeds;
-    convoy_->seeds(lighthouse_seeds(settings_));
+    convoy_->seeds(station::lighthouse_seeds(settings_));
     members_changed();
 }
 
@@ -386,7 +379,7 @@
         if (member.facts.role == convoy::Role::Lighthouse && member.state != convoy::State::Gone)
             others.push_back(address);
     }
-    for (const std::string& seed : lighthouse_seeds(settings_)) {
+    for (const std::string& seed : station::lighthouse_seeds(settings_)) {
         const auto it = convoy_->members().find(seed);
         if (seed != address_ && it == convoy_->members().end()) others.push_back(seed);
     }
--- a/src/pilot/pilot.cpp
+++ b/src/pilot/pilot.cpp
@@ -22,13 +22,6 @@
 constexpr std::size_t kOwnDescriptors = 260;    // files outside the disk folder, and the loop's own
 constexpr double kClientShare = 0.65;           // of the others
 
-std::vector<std::string> lighthouse_seeds(const station::NodeSettings& s) {
-    std::vector<std::string> seeds;
-    for (const std::string& seed : s.seeds)
-        seeds.push_back(station::lighthouse_address(station::ip_of(seed), s));
-    return seeds;
-}
-
 std::vector<std::string> zone_names(const station::NodeSettings& s) {
     std::vector<std::string> names;
     for (const auto& [zone, region] : s.zones) names.push_back(zone);
@@ -56,7 +49,7 @@
     c.me.zone = settings_.zone;
     c.me.region = settings_.region;
     c.me.life = life_;
-    c.seeds = lighthouse_seeds(settings_);
+    c.seeds = station::lighthouse_seeds(settings_);
     c.seed = seed;
     convoy_ = std::make_unique<convoy::Convoy>(c, now);
 
@@ -114,7 +107,7 @@
 
 void Pilot::settings_changed(const station::NodeSettings& settings) {
     settings_.seeds = settings.seeds;
-    convoy_->seeds(lighthouse_seeds(settings_));
+    convoy_->seeds(station::lighthouse_seeds(settings_));
     lighthouses_changed();
 }
 
@@ -231,7 +224,7 @@
         if (member.facts.role != convoy::Role::Lighthouse || member.state == convoy::State::Gone) continue;
         (member.state == convoy::State::Alive ? known : doubted).push_back(address);
     }
-    for (const std::string& seed : lighthouse_seeds(settings_)) {
+    for (const std::string& seed : station::lighthouse_seeds(settings_)) {
         if (!convoy_->members().contains(seed)) known.push_back(seed);
     }
     lookout_->lighthouses(std::move(known), std::move(doubted));
--- a/src/station/settings_file.cpp
+++ b/src/station/settings_file.cpp
@@ -213,6 +213,11 @@
     return ip + ":" + std::to_string(settings.first_port);
 }
 
+std::vector<std::string> lighthouse_seeds(const NodeSettings& settings) {
+    std::vector<std::string> seeds;
+    for (const std::string& seed : settings.seeds) seeds.push_back(lighthouse_address(ip_of(seed), settings));
+    return seeds;
+}
 std::string pilot_address(const std::string& ip, const NodeSettings& settings) {
     return ip + ":" + std::to_string(settings.first_port + 1);
 }
--- a/src/station/settings_file.h
+++ b/src/station/settings_file.h
@@ -50,6 +50,7 @@
 
 // Internal addresses: a lighthouse's is its machine's first internal port, a pilot's the second.
 std::string lighthouse_address(const std::string& ip, const NodeSettings& settings);
+std::vector<std::string> lighthouse_seeds(const NodeSettings& settings);    // of its seeds' machines
 std::string pilot_address(const std::string& ip, const NodeSettings& settings);
 std::string ip_of(const std::string& address);
 
