--- a/src/convoy/convoy.capnp
+++ b/src/convoy/convoy.capnp
@@ -48,7 +48,7 @@
                              # of their addresses, for those with the same sum
   hashes @16 :List(UInt32);  # for the others, of some: of address and life, and
   beats @20 :Data;           # their beats
-  check @21 :Bool;           # the doubts in it are old: to be looked at, not believed
+  check @21 :Bool;           # the suspicions in it are old: to be looked at, not believed
   buckets @17 :List(UInt64); # Ask: digests by parts; empty: everything is wanted
   after @18 :Text;           # Ask, Page: from which address on
   next @19 :Text;            # Page: up to which
--- a/src/convoy/convoy.cpp
+++ b/src/convoy/convoy.cpp
@@ -29,7 +29,7 @@
 constexpr int kRounds = 3;                    // times the logarithm of the members: packets that carry a news
 constexpr int kEager = 8, kEagerLarge = 6;    // of them, those sent at once
 constexpr std::size_t kEagerPeers = 4, kEagerPeersLarge = 3;
-constexpr Duration kDoubtNews = 2s;    // a doubt is news for so long: then most have heard of it
+constexpr Duration kSuspicionNews = 2s;    // a suspicion is news for so long: then most have heard of it
 constexpr Duration kEagerDelay = 10ms, kPace = 100ms, kPaceLarge = 250ms;
 constexpr Duration kStill = 1s;    // without a change here, after which another's sum should be the same
 constexpr int kAgreed = 6;
@@ -181,11 +181,11 @@
                     ++heard;
             return static_cast<double>(heard) / static_cast<double>(roll_.pilots());
         }
-        // Those that were drawn and pinged stand for all that are Alive; the Doubted are unheard.
-        std::size_t doubted = 0;
+        // Those that were drawn and pinged stand for all that are Alive; the Suspected are unheard.
+        std::size_t suspected = 0;
         for (const Record* r : roll_.lost())
-            if (r->member->state == State::Doubted && r->member->facts.role == Role::Pilot) ++doubted;
-        const double alive = static_cast<double>(roll_.pilots() - std::min(doubted, roll_.pilots()));
+            if (r->member->state == State::Suspected && r->member->facts.role == Role::Pilot) ++suspected;
+        const double alive = static_cast<double>(roll_.pilots() - std::min(suspected, roll_.pilots()));
         return alive / static_cast<double>(roll_.pilots()) * part(now, within, [](const Sample& s) {
                    return std::pair(s.record->member->facts.role == Role::Pilot,
                                     s.record->member->heard >= s.sent);
@@ -263,7 +263,7 @@
         changed_.clear();
     }
 
-    // After a time in which this process did not run it knows nothing of the others: nobody is doubted for
+    // After a time in which this process did not run it knows nothing of the others: nobody is suspected for
     // it, and what it thought of them before is not passed on.
     void wake(TimePoint now) {
         if (now - last_ > std::max<Duration>(kGap, 2 * s_.every)) {
@@ -273,7 +273,7 @@
             probes_.clear();
             samples_.clear();
             for (Record* r : roll_.lost())
-                if (r->member->state == State::Doubted) r->doubted = now;
+                if (r->member->state == State::Suspected) r->suspected = now;
             bump(false);
             sync_now_ = true;
             round_at_ = now;
@@ -363,8 +363,8 @@
             const std::size_t more = entry_size(e);
             if (size + more > s_.longest) break;
             news_.pop_front();
-            const bool old = r->member->state == State::Doubted &&
-                             (last_ - r->doubted > kDoubtNews || r->doubted <= woke_);
+            const bool old = r->member->state == State::Suspected &&
+                             (last_ - r->suspected > kSuspicionNews || r->suspected <= woke_);
             if (old || (r->member->state == State::Gone && !r->member->ended)) {    // forgotten: not said
                 r->news = false;
                 continue;
@@ -397,7 +397,7 @@
 
     std::uint8_t beat_of(const Record& r, TimePoint now) const {
         if (&r == &self_) return self_.beat;
-        return now - r.beat_at <= s_.doubt_after ? r.beat : 0;
+        return now - r.beat_at <= s_.suspect_after ? r.beat : 0;
     }
 
     // Beats as last known: a row of all of them, which a receiver with another sum cannot read.
@@ -492,7 +492,7 @@
                     evidence(*r, now, out.changed);
                     if (lost && r->version == lost_version) {
                         Entry e = r->entry();    // so that it says anew that it runs
-                        e.state = State::Doubted;
+                        e.state = State::Suspected;
                         corrections.push_back(std::move(e));
                     }
                 }
@@ -584,24 +584,25 @@
             if (e.facts.address != from) corrections.push_back(r->whole_entry());
             return false;
         }
-        // Only fresh doubts are believed, of those that were not heard here.
-        const bool doubt = e.state == State::Doubted && m.state == State::Alive && source == Source::News;
-        const bool believe = doubt && !check && now - since(*r) >= s_.doubt_after;
+        // Only fresh suspicions are believed, of those that were not heard here.
+        const bool suspicion =
+            e.state == State::Suspected && m.state == State::Alive && source == Source::News;
+        const bool believe = suspicion && !check && now - since(*r) >= s_.suspect_after;
         if (e.version > r->version) {
             roll_.update(*r, e);
-            if (e.state == State::Alive) {    // a version that it made after it was doubted
+            if (e.state == State::Alive) {    // a version that it made after it was suspected
                 if (m.state != State::Alive) evidence(*r, now, out.changed);
             } else if (believe) {
-                roll_.become(*r, State::Doubted, now);
+                roll_.become(*r, State::Suspected, now);
             }
             return changed(*r, !e.brief, told, now, out);
         }
-        if (doubt && !believe) {
+        if (suspicion && !believe) {
             try_it(*r, now, out);
             return false;
         }
         if (believe) {
-            roll_.become(*r, State::Doubted, now);
+            roll_.become(*r, State::Suspected, now);
             return changed(*r, false, told, now, out);
         }
         if (e.state == State::Alive && m.state == State::Gone && e.facts.address != from)
@@ -616,7 +617,8 @@
         return true;
     }
 
-    // What others hold of this process: an earlier life is ended by a higher number, a doubt by a later word.
+    // What others hold of this process: an earlier life is ended by a higher number, a suspicion by a later
+    // word.
     void about_me(const Entry& e) {
         if (e.facts.life > me_.facts.life || (e.facts.life == me_.facts.life && e.state == State::Gone)) {
             me_.facts.life = e.facts.life + 1;
@@ -624,7 +626,8 @@
             sum_self();
             tell(self_, true);
         } else if (e.facts.life == me_.facts.life &&
-                   (e.version > self_.version || (e.version == self_.version && e.state == State::Doubted))) {
+                   (e.version > self_.version ||
+                    (e.version == self_.version && e.state == State::Suspected))) {
             self_.version = e.version;
             bump(false);
         }
@@ -639,9 +642,9 @@
         mark(r.address, changed);
         still_ = now;
         if (!alone) return;
-        // This process was cut off, not they: so are the others taken that it doubted then.
+        // This process was cut off, not they: so are the others taken that it suspected then.
         for (Record* other : roll_.lost()) {
-            if (other->member->state != State::Doubted || !other->alone) continue;
+            if (other->member->state != State::Suspected || !other->alone) continue;
             other->known = now;
             roll_.become(*other, State::Alive, now);
             mark(other->address, changed);
@@ -719,11 +722,11 @@
         for (Probe& p : probes_) {
             if (now < p.next) continue;
             Record& r = *p.record;
-            const Duration tried = large() ? s_.doubt_after : s_.doubt_after / 2;
-            if (p.tries >= 3 && now - since(r) >= s_.doubt_after && now - p.first >= tried) {
+            const Duration tried = large() ? s_.suspect_after : s_.suspect_after / 2;
+            if (p.tries >= 3 && now - since(r) >= s_.suspect_after && now - p.first >= tried) {
                 r.probed = false;
-                roll_.become(r, State::Doubted, now);
-                // Who hears of few has himself to doubt.
+                roll_.become(r, State::Suspected, now);
+                // Who hears of few has himself to suspect.
                 r.alone = out_of_touch(now);
                 changed(r, false, r.alone ? limit() : 0, now, out);
                 continue;
@@ -771,7 +774,7 @@
         return chosen;
     }
 
-    // Pings it, and more and more until it is heard or Doubted.
+    // Pings it, and more and more until it is heard or Suspected.
     bool try_it(Record& r, TimePoint now, Actions& out) {
         if (r.probed || probes_.size() >= kMostProbes) return false;
         r.probed = true;
@@ -798,7 +801,7 @@
         if (!lost.empty()) {
             Record& r = *lost[draw(lost.size())];
             ping(r, ++number_, true, now, out);
-            if (r.member->state == State::Doubted) ping_for(r, number_, 1, out);
+            if (r.member->state == State::Suspected) ping_for(r, number_, 1, out);
         }
         if (rounds_ % kSeedRounds == 0 && joined_ && !seeds_.empty()) {
             const Seed& seed = seeds_[draw(seeds_.size())];
@@ -818,8 +821,8 @@
             return !r->lost;
         });
         for (Record* r : roll_.lost()) {
-            if (r->member->state == State::Doubted) {
-                if (now - r->doubted < s_.forget_after - s_.doubt_after) continue;
+            if (r->member->state == State::Suspected) {
+                if (now - r->suspected < s_.forget_after - s_.suspect_after) continue;
                 roll_.become(*r, State::Gone, now);
                 mark(r->address, out.changed);
                 still_ = now;
@@ -878,7 +881,7 @@
         agreed_ = 0;
         sync_wait_ = shortest_sync();
         std::erase_if(news_, [&](Record* r) {
-            if (r->told < eager() || r->member->state == State::Doubted) return false;
+            if (r->told < eager() || r->member->state == State::Suspected) return false;
             r->news = false;
             return true;
         });
@@ -906,7 +909,8 @@
             for (std::size_t i = 0; i < mine.size(); ++i) differs.push_back(mine[i] != asked.buckets[i]);
         }
         const auto wanted = [&](const Record& r) {
-            if (r.member->state == State::Doubted && r.doubted <= woke_ && woke_ != TimePoint{}) return false;
+            if (r.member->state == State::Suspected && r.suspected <= woke_ && woke_ != TimePoint{})
+                return false;
             return differs.empty() || differs[Roll::bucket(r.place, differs.size())];
         };
         std::string after = asked.after;
--- a/src/convoy/convoy.h
+++ b/src/convoy/convoy.h
@@ -1,13 +1,13 @@
 // Which processes of the system there are: members learned from the seeds and then from each other, by
 // datagrams. Pure: messages and times in, messages and changes out. Nothing here is a list that is given, and
-// no silence proves an end: a member is Alive, Doubted (unheard, perhaps cut off) or Gone (it said so, a
+// no silence proves an end: a member is Alive, Suspected (unheard, perhaps cut off) or Gone (it said so, a
 // later life at its address was heard, or it was unheard for `forget_after`).
 //
 // In the manner of SWIM: each round a process pings a few others, directly and where they do not answer
-// through third ones. Every packet carries what is new (a life, a version of its facts, a doubt, a goodbye)
-// to those that may not know it; what is new at a process goes to some others at once. Every packet also says
-// the sum of all lives and versions that its sender knows: where two differ for a while, one asks the other
-// for what differs. What a process does in calm does not grow with their number.
+// through third ones. Every packet carries what is new (a life, a version of its facts, a suspicion, a
+// goodbye) to those that may not know it; what is new at a process goes to some others at once. Every packet
+// also says the sum of all lives and versions that its sender knows: where two differ for a while, one asks
+// the other for what differs. What a process does in calm does not grow with their number.
 #pragma once
 
 #include <cstdint>
@@ -22,7 +22,7 @@
 namespace shaletray::convoy {
 
 enum class Role : std::uint8_t { Pilot, Lighthouse };
-enum class State : std::uint8_t { Alive, Doubted, Gone };
+enum class State : std::uint8_t { Alive, Suspected, Gone };
 
 struct Facts {              // what a member says of itself
     std::string address;    // internal "ip:port", datagrams and sessions alike
@@ -30,7 +30,7 @@
     std::string name, zone, region;
     std::string control;         // lighthouses: the address that serves control_plane
     bool quorum = false;         // lighthouses: its disk may vote
-    std::uint64_t disk = 0;      // its number in the lamp's crew
+    std::uint64_t disk = 0;      // its number in the lamp's voters
     std::uint64_t life = 0;      // larger for a later life at the same address
     std::uint32_t counts = 0;    // pilots: how many pilots it divides quotas by; 0: grants nothing yet
     bool operator==(const Facts&) const = default;
@@ -47,7 +47,7 @@
     Facts me;                                           // its life is raised where an earlier one is heard of
     std::vector<std::string> seeds;                     // internal addresses of lighthouses, to begin with
     Duration every = std::chrono::milliseconds(500);    // between two rounds of probes
-    Duration doubt_after = std::chrono::milliseconds(2000);
+    Duration suspect_after = std::chrono::milliseconds(2000);
     Duration forget_after = std::chrono::seconds(20);
     std::size_t longest = 1200;    // bytes of a datagram
     std::uint64_t seed = 0;
@@ -67,7 +67,7 @@
 };
 
 // The owner sends what `sends` holds, in any order and at most once, and calls tick at next(), which any call
-// may move. A process that was not called for over a second takes itself for frozen: it doubts nobody until
+// may move. A process that was not called for over a second takes itself for frozen: it suspects nobody until
 // it could have heard them again. Once a member is Gone for two minutes it leaves members().
 class Convoy {
 public:
@@ -95,7 +95,7 @@
     // later than the one known, and seen(). Where all is well each is heard within a second with up to 32
     // members, and within two with more. From 128 on it is estimated: of the pilots drawn and pinged in
     // this time (about four a second; the last four at least) the part that was heard since, less the
-    // Doubted. A process that just started counts nobody as heard that it only was told of. Who is cut
+    // Suspected. A process that just started counts nobody as heard that it only was told of. Who is cut
     // off for longer than `forget_after` has forgotten the others and counts none: see Member::ended.
     double heard_part(TimePoint now, Duration within) const;
     // Whether others hear this process: of its own pings in that time (four to six a second, the last four at
--- a/src/convoy/roll.cpp
+++ b/src/convoy/roll.cpp
@@ -14,10 +14,10 @@
     return e;
 }
 
-// What another one may make of it: nobody is Gone for having been unheard here, nor Doubted for our own
+// What another one may make of it: nobody is Gone for having been unheard here, nor Suspected for our own
 // trouble.
 State Record::told_state() const {
-    if (member->state == State::Gone) return member->ended ? State::Gone : State::Doubted;
+    if (member->state == State::Gone) return member->ended ? State::Gone : State::Suspected;
     return alone ? State::Alive : member->state;
 }
 
@@ -96,7 +96,7 @@
     record.probed = false;
     m.ended = state == State::Gone;
     record.known = now;
-    record.doubted = state == State::Doubted ? now : TimePoint{};
+    record.suspected = state == State::Suspected ? now : TimePoint{};
     record.alone = false;
     if (state != State::Alive && !record.lost) {
         record.lost = true;
@@ -127,7 +127,7 @@
     count(record, -1);
     record.member->state = state;
     record.member->changed = now;
-    record.doubted = state == State::Doubted ? now : TimePoint{};
+    record.suspected = state == State::Suspected ? now : TimePoint{};
     record.alone = false;
     if (state != State::Alive && !record.lost) {
         record.lost = true;
--- a/src/convoy/roll.h
+++ b/src/convoy/roll.h
@@ -28,10 +28,10 @@
     std::uint64_t place = 0;    // hash of the address: its part in comparisons
     std::uint64_t sum = 0;      // of address, life and version; 0 while Gone
     TimePoint known{};          // when this life was learned of
-    TimePoint doubted{};        // since when; as long as it is Doubted
+    TimePoint suspected{};      // since when; as long as it is Suspected
     bool probed = false;        // pinged, unanswered, and being pinged again
-    bool alone = false;         // Doubted by this process only, which hardly heard of anybody
-    bool lost = false;          // Doubted or Gone
+    bool alone = false;         // Suspected by this process only, which hardly heard of anybody
+    bool lost = false;          // Suspected or Gone
     int told = 0;               // packets that carried its news
     bool news = false;          // its news is still carried
     bool whole = false;         // as all its facts
@@ -73,7 +73,7 @@
         for (auto it = index.upper_bound(after); it != index.end(); ++it)
             if (!f(**it)) return;
     }
-    // Those that are Doubted or Gone, and some that no longer are.
+    // Those that are Suspected or Gone, and some that no longer are.
     std::vector<Record*>& lost() { return lost_; }
     const std::vector<Record*>& lost() const { return lost_; }
 
--- a/src/lamp/lamp.capnp
+++ b/src/lamp/lamp.capnp
@@ -17,7 +17,7 @@
 
 struct Decree {
   number @0 :UInt64;
-  crew @1 :List(Member);
+  voters @1 :List(Member);
   version @2 :UInt64;
   text @3 :Data;
   textAsBefore @4 :Bool;  # left out: that of the decree of the same version that the reader holds
--- a/src/lamp/lamp.cpp
+++ b/src/lamp/lamp.cpp
@@ -30,11 +30,11 @@
     return out;
 }
 
-bool holds(const std::vector<Member>& crew, const Member& member) {
-    return std::find(crew.begin(), crew.end(), member) != crew.end();
+bool holds(const std::vector<Member>& voters, const Member& member) {
+    return std::find(voters.begin(), voters.end(), member) != voters.end();
 }
 
-std::size_t majority(const std::vector<Member>& crew) { return crew.size() / 2 + 1; }
+std::size_t majority(const std::vector<Member>& voters) { return voters.size() / 2 + 1; }
 
 }    // namespace
 
@@ -50,9 +50,9 @@
         for (const char c : settings_.me.address) random_ = mix(random_ ^ static_cast<unsigned char>(c));
         life_ = settings_.me.address + "#" + hex(draw());
         nonce_ = draw();
-        if (saved_.decree.crew.empty() && !settings_.founders.empty()) {
+        if (saved_.decree.voters.empty() && !settings_.founders.empty()) {
             std::set<std::string> founders(settings_.founders.begin(), settings_.founders.end());
-            for (const std::string& address : founders) saved_.decree.crew.push_back({address, 0});
+            for (const std::string& address : founders) saved_.decree.voters.push_back({address, 0});
             dirty_ = true;
         }
         if (saved_.accepted.round == 0 || !saved_.pending ||
@@ -66,12 +66,12 @@
         if (proposals_.size() >= kMostProposals) return done(ticket, Answer::Unsettled);
         proposals_.push_back({ticket, version, std::move(text), turn_, until});
     }
-    void confirm(Ticket ticket, TimePoint until) {
+    void quorum_read(Ticket ticket, TimePoint until) {
         if (confirms_.size() >= kMostConfirms) return done(ticket, Answer::Unsettled);
         confirms_.push_back({ticket, turn_, until});
     }
-    void change_crew(const Member& in, const std::optional<Member>& out) {
-        if (wish_ || in.address.empty() || holds(saved_.decree.crew, in)) return;
+    void change_voters(const Member& in, const std::optional<Member>& out) {
+        if (wish_ || in.address.empty() || holds(saved_.decree.voters, in)) return;
         wish_ = Wish{in, out, now_ + settings_.round_time * kWishRounds};
     }
     void heard(const std::string& from, const std::string& bytes) {
@@ -139,7 +139,7 @@
     }
     const Decree& decree() const { return saved_.decree; }
     std::optional<TimePoint> confirmed() const { return confirmed_; }
-    bool in_crew() const { return holds(saved_.decree.crew, settings_.me); }
+    bool is_voter() const { return holds(saved_.decree.voters, settings_.me); }
     std::uint64_t dropped() const { return dropped_; }
     std::string picture() const;
 
@@ -192,7 +192,7 @@
         TimePoint due;
         int tries = 0;
     };
-    struct Telling {    // of a decree that was decided here, to the crews
+    struct Telling {    // of a decree that was decided here, to the sets of voters
         std::uint64_t at = 0;
         std::set<std::string> lacking;
         TimePoint due;
@@ -200,8 +200,8 @@
         int tries = 0;
     };
 
-    std::uint64_t at() const { return saved_.decree.crew.empty() ? 0 : saved_.decree.number + 1; }
-    bool votes() const { return settings_.votes && in_crew(); }
+    std::uint64_t at() const { return saved_.decree.voters.empty() ? 0 : saved_.decree.number + 1; }
+    bool votes() const { return settings_.votes && is_voter(); }
     std::uint64_t draw() { return mix(random_ += 0x9e3779b97f4a7c15ull); }
     Duration draw(Duration from, Duration to) {
         return from +
@@ -251,13 +251,13 @@
     // Waits for all that the answer may rest on to be on the disk.
     void reply(const std::string& to, Message m) { replies_.push_back({0, to, std::move(m)}); }
 
-    std::set<std::string> crew_addresses() const {
+    std::set<std::string> voter_addresses() const {
         std::set<std::string> out;
-        for (const Member& m : saved_.decree.crew) out.insert(m.address);
+        for (const Member& m : saved_.decree.voters) out.insert(m.address);
         return out;
     }
     bool counts(const std::string& from, const Message& m) const {
-        return holds(saved_.decree.crew, {from, m.disk});
+        return holds(saved_.decree.voters, {from, m.disk});
     }
 
     void hear(const std::string& from, const Message& m) {
@@ -398,14 +398,14 @@
         seen_ = 0;
         retry_at_ = now_;
         if (wanted_ && wanted_->at <= at()) wanted_.reset();
-        if (wish_ && holds(saved_.decree.crew, wish_->in)) wish_.reset();
+        if (wish_ && holds(saved_.decree.voters, wish_->in)) wish_.reset();
         if (telling_ && telling_->at < at()) telling_.reset();
     }
     void seek() {
         std::set<std::string> to(others_.begin(), others_.end());
         to.insert(settings_.founders.begin(), settings_.founders.end());
         to.erase(settings_.me.address);
-        for (const Member& m : saved_.decree.crew) to.erase(m.address);
+        for (const Member& m : saved_.decree.voters) to.erase(m.address);
         Message ask = message(Kind::Ask);    // any answer says how far its sender is
         send_all(to, ask);
     }
@@ -436,7 +436,7 @@
             round.own_value = saved_.pending;
         }
         round_ = std::move(round);
-        send_round(crew_addresses());
+        send_round(voter_addresses());
     }
     void send_round(const std::set<std::string>& to) {
         Message m = message(round_->accepting ? Kind::Accept : Kind::Prepare);
@@ -460,7 +460,7 @@
             round_->value = std::move(value);
         }
         round_->yes.insert(from);
-        if (round_->yes.size() < majority(saved_.decree.crew)) return;
+        if (round_->yes.size() < majority(saved_.decree.voters)) return;
         if (round_->best.round == 0) {    // nothing was chosen when this round began
             bear_out(round_->begun, round_->turn);
             complete_ = false;
@@ -475,16 +475,16 @@
         round_->yes.clear();
         round_->no.clear();
         round_->own_value.reset();
-        send_round(crew_addresses());
+        send_round(voter_addresses());
     }
-    // The highest version asked for here; with none, the crew's change.
+    // The highest version asked for here; with none, the voters's change.
     std::optional<Decree> own_value() {
         const Proposal* best = nullptr;
         for (const Proposal& p : proposals_)
             if (newer(p) && (!best || p.version > best->version)) best = &p;
         Decree value;
         value.number = at();
-        value.crew = saved_.decree.crew;
+        value.voters = saved_.decree.voters;
         if (best) {
             value.version = best->version;
             value.text = best->text;
@@ -492,15 +492,15 @@
         }
         if (!wish_) return std::nullopt;
         // One address is one member: an emptied disk takes its own place rather than another's.
-        const auto itself = std::find_if(value.crew.begin(), value.crew.end(),
+        const auto itself = std::find_if(value.voters.begin(), value.voters.end(),
                                          [this](const Member& m) { return m.address == wish_->in.address; });
-        if (itself != value.crew.end()) value.crew.erase(itself);
-        else if (wish_->in_place_of && std::erase(value.crew, *wish_->in_place_of) == 0) {
+        if (itself != value.voters.end()) value.voters.erase(itself);
+        else if (wish_->in_place_of && std::erase(value.voters, *wish_->in_place_of) == 0) {
             wish_.reset();    // another's change came first
             return std::nullopt;
         }
-        value.crew.push_back(wish_->in);
-        std::sort(value.crew.begin(), value.crew.end());
+        value.voters.push_back(wish_->in);
+        std::sort(value.voters.begin(), value.voters.end());
         value.version = saved_.decree.version;
         value.text = saved_.decree.text;
         return value;
@@ -508,13 +508,13 @@
     void hear_accepted(const std::string& from, const Message& m) {
         if (!about_round(from, m) || !round_->accepting) return;
         round_->yes.insert(from);
-        if (round_->yes.size() >= majority(saved_.decree.crew)) decide();
+        if (round_->yes.size() >= majority(saved_.decree.voters)) decide();
     }
     void hear_refused(const std::string& from, const Message& m) {
         if (m.instance == at() && counts(from, m)) seen_ = std::max(seen_, m.other.round);
         if (!about_round(from, m) || round_->yes.contains(from)) return;
         round_->no.insert(from);
-        if (round_->no.size() + majority(saved_.decree.crew) > saved_.decree.crew.size()) back_off();
+        if (round_->no.size() + majority(saved_.decree.voters) > saved_.decree.voters.size()) back_off();
     }
     void back_off() {
         round_.reset();
@@ -523,18 +523,18 @@
         retry_at_ = now_ + draw(most / 8, most);
     }
     void decide() {
-        std::set<std::string> to = crew_addresses();
-        const std::vector<Member> before = saved_.decree.crew;
+        std::set<std::string> to = voter_addresses();
+        const std::vector<Member> before = saved_.decree.voters;
         const TimePoint begun = round_->begun;
         const std::uint64_t turn = round_->turn;
         const Ballot ballot = round_->ballot;
         adopt(std::move(*round_->value), ballot);
-        if (saved_.decree.crew == before) {
+        if (saved_.decree.voters == before) {
             // Whoever keeps it now is asked for each later one, so none was chosen when it was sent out.
             bear_out(begun, turn);
             answer_proposals(true);
-        } else owes_read_ = true;    // nothing is answered before a majority of the new crew keeps it
-        to.merge(crew_addresses());
+        } else owes_read_ = true;    // nothing is answered before a majority of the new voters keeps it
+        to.merge(voter_addresses());
         to.erase(settings_.me.address);
         telling_ = {at(), to, now_ + settings_.round_time, settings_.round_time, 0};
         to.insert(others_.begin(), others_.end());
@@ -554,7 +554,7 @@
         read_->turn = turn_;
         read_->wait = settings_.round_time;
         read_->due = now_ + read_->wait;
-        send_read(crew_addresses());
+        send_read(voter_addresses());
     }
     void send_read(const std::set<std::string>& to) {
         Message ask = message(Kind::Ask);
@@ -566,7 +566,7 @@
         if (m.at < at()) return notify(from);    // Kept has it asked again
         if (m.at > at()) return;
         read_->answers[from] = m.pending;
-        const std::size_t needed = majority(saved_.decree.crew);
+        const std::size_t needed = majority(saved_.decree.voters);
         const auto clear = static_cast<std::size_t>(std::count_if(
             read_->answers.begin(), read_->answers.end(), [](const auto& a) { return !a.second; }));
         if (clear >= needed) {
@@ -649,7 +649,7 @@
         if (round_ && now_ >= round_->due) {
             if (!round_->no.empty()) back_off();
             else {
-                std::set<std::string> to = crew_addresses();
+                std::set<std::string> to = voter_addresses();
                 for (const std::string& address : round_->yes) to.erase(address);
                 round_->wait = std::min(round_->wait * 2, kLongestWait);
                 round_->due = now_ + round_->wait;
@@ -662,7 +662,7 @@
     void advance_read() {
         if (read_ && !wants_read()) read_.reset();
         if (read_ && now_ >= read_->due) {
-            std::set<std::string> to = crew_addresses();
+            std::set<std::string> to = voter_addresses();
             for (const auto& [address, pending] : read_->answers) to.erase(address);
             read_->wait = std::min(read_->wait * 2, kLongestWait);
             read_->due = now_ + read_->wait;
@@ -694,7 +694,7 @@
     std::vector<Confirm> confirms_;
     std::optional<Wish> wish_;
     bool complete_ = false;     // what others accepted is to be decided
-    bool owes_read_ = false;    // a new crew is not known to keep its decree yet
+    bool owes_read_ = false;    // new voters are not known to keep their decree yet
     std::optional<Round> round_;
     std::uint64_t seen_ = 0;    // the highest round heard of
     int losses_ = 0;
@@ -720,7 +720,7 @@
     };
     const auto decree = [&](const Decree& d) {
         add("decree", d.number, d.version, d.text);
-        for (const Member& m : d.crew) add(m.address, m.disk);
+        for (const Member& m : d.voters) add(m.address, m.disk);
     };
     add(life_, saved_.disk, issued_ - stored_, dirty_, complete_, owes_read_, seen_);
     decree(saved_.decree);
@@ -765,15 +765,15 @@
     impl_->propose(ticket, version, std::move(text), until);
     impl_->end();
 }
-void Lamp::confirm(Ticket ticket, TimePoint until, TimePoint now, Actions& out) {
+void Lamp::quorum_read(Ticket ticket, TimePoint until, TimePoint now, Actions& out) {
     impl_->begin(now, out);
-    impl_->confirm(ticket, until);
+    impl_->quorum_read(ticket, until);
     impl_->end();
 }
-void Lamp::change_crew(const Member& in, const std::optional<Member>& in_place_of, TimePoint now,
-                       Actions& out) {
+void Lamp::change_voters(const Member& in, const std::optional<Member>& in_place_of, TimePoint now,
+                         Actions& out) {
     impl_->begin(now, out);
-    impl_->change_crew(in, in_place_of);
+    impl_->change_voters(in, in_place_of);
     impl_->end();
 }
 void Lamp::heard(const std::string& from, const std::string& bytes, TimePoint now, Actions& out) {
@@ -794,7 +794,7 @@
 void Lamp::others(std::vector<std::string> addresses) { impl_->others(std::move(addresses)); }
 const Decree& Lamp::decree() const { return impl_->decree(); }
 std::optional<TimePoint> Lamp::confirmed() const { return impl_->confirmed(); }
-bool Lamp::in_crew() const { return impl_->in_crew(); }
+bool Lamp::is_voter() const { return impl_->is_voter(); }
 std::uint64_t Lamp::dropped() const { return impl_->dropped(); }
 std::string Lamp::picture() const { return impl_->picture(); }
 
--- a/src/lamp/lamp.h
+++ b/src/lamp/lamp.h
@@ -1,9 +1,9 @@
-// The agreed register of the lighthouses: a chain of decrees, each chosen by a majority of the crew that the
-// one before it names. A decree holds the whole configuration and the crew for the next one. Pure: messages
-// and times in, messages, things to store and answers out; no clock, no sockets, no disk.
+// The agreed register of the lighthouses: a chain of decrees, each chosen by a majority of the voters that
+// the one before it names. A decree holds the whole configuration and the voters for the next one. Pure:
+// messages and times in, messages, things to store and answers out; no clock, no sockets, no disk.
 //
-// Decree n+1 is a single round of Paxos among the crew of decree n; nothing starts on n+1 before n is known.
-// A member of the crew is a disk: an emptied one has another number and has no vote until it was voted in.
+// Decree n+1 is a single round of Paxos among the voters of decree n; nothing starts on n+1 before n is
+// known. A voter is a disk: an emptied one has another number and has no vote until it was voted in.
 #pragma once
 
 #include <compare>
@@ -24,8 +24,8 @@
     auto operator<=>(const Member&) const = default;
 };
 struct Decree {
-    std::uint64_t number = 0;    // 0: the founding, nothing decided yet
-    std::vector<Member> crew;    // who decides on the next one
+    std::uint64_t number = 0;      // 0: the founding, nothing decided yet
+    std::vector<Member> voters;    // who decides on the next one
     std::uint64_t version = 0;
     std::string text;    // the configuration as the operator sent it
     bool operator==(const Decree&) const = default;
@@ -48,7 +48,7 @@
 
 struct Settings {
     Member me;
-    bool votes = true;                    // false without a disk: never in a crew
+    bool votes = true;                    // false without a disk: never a voter
     std::vector<std::string> founders;    // internal addresses; empty where this is no first start
     std::uint64_t seed =
         0;    // another one in each life: ballots are told apart by it (and by the start time)
@@ -92,20 +92,21 @@
     void propose(Ticket ticket, std::uint64_t version, std::string text, TimePoint until, TimePoint now,
                  Actions& out);
     // Settled once decree() is known to be the newest that was chosen when this was asked.
-    void confirm(Ticket ticket, TimePoint until, TimePoint now, Actions& out);
+    void quorum_read(Ticket ticket, TimePoint until, TimePoint now, Actions& out);
     // Proposes that `in` votes, in the place of `in_place_of` where given. Refused while one is under way.
-    void change_crew(const Member& in, const std::optional<Member>& in_place_of, TimePoint now, Actions& out);
+    void change_voters(const Member& in, const std::optional<Member>& in_place_of, TimePoint now,
+                       Actions& out);
     void heard(const std::string& from, const std::string& bytes, TimePoint now, Actions& out);
     void stored(std::uint64_t token, TimePoint now, Actions& out);
     void tick(TimePoint now, Actions& out);
     std::optional<TimePoint> next() const;    // when tick is due
-    // To whom new decrees are told, beside the crew: all lighthouses known.
+    // To whom new decrees are told, beside the voters: all lighthouses known.
     void others(std::vector<std::string> addresses);
 
     const Decree& decree() const;    // the newest chosen that is known here
     // When a majority last bore out that decree() was the newest; none: not yet in this life.
     std::optional<TimePoint> confirmed() const;
-    bool in_crew() const;
+    bool is_voter() const;
     std::uint64_t dropped() const;    // messages that could not be read
     std::string picture() const;      // all that matters but times, for exploring and for logs
 
--- a/src/lamp/lamp_message.cpp
+++ b/src/lamp/lamp_message.cpp
@@ -11,7 +11,7 @@
 namespace shaletray::lamp {
 namespace {
 
-constexpr std::size_t kMostCrew = 128, kLongestName = 512, kMark = 8;
+constexpr std::size_t kMostVoters = 128, kLongestName = 512, kMark = 8;
 
 std::string text_of(capnp::Text::Reader text) { return {text.cStr(), text.size()}; }
 
@@ -28,10 +28,10 @@
 void write(wire::Decree::Builder to, const Decree& decree, bool with_text) {
     to.setNumber(decree.number);
     to.setVersion(decree.version);
-    auto crew = to.initCrew(static_cast<unsigned>(decree.crew.size()));
-    for (unsigned i = 0; i < crew.size(); ++i) {
-        crew[i].setAddress(decree.crew[i].address.c_str());
-        crew[i].setDisk(decree.crew[i].disk);
+    auto voters = to.initVoters(static_cast<unsigned>(decree.voters.size()));
+    for (unsigned i = 0; i < voters.size(); ++i) {
+        voters[i].setAddress(decree.voters[i].address.c_str());
+        voters[i].setDisk(decree.voters[i].disk);
     }
     if (with_text)
         to.setText(
@@ -43,11 +43,11 @@
     Decree decree;
     decree.number = from.getNumber();
     decree.version = from.getVersion();
-    const auto crew = from.getCrew();
-    KJ_REQUIRE(crew.size() <= kMostCrew);
-    for (const auto member : crew) {
+    const auto voters = from.getVoters();
+    KJ_REQUIRE(voters.size() <= kMostVoters);
+    for (const auto member : voters) {
         KJ_REQUIRE(member.getAddress().size() <= kLongestName);
-        decree.crew.push_back({text_of(member.getAddress()), member.getDisk()});
+        decree.voters.push_back({text_of(member.getAddress()), member.getDisk()});
     }
     const auto text = from.getText();
     decree.text.assign(reinterpret_cast<const char*>(text.begin()), text.size());
@@ -119,7 +119,8 @@
 
 std::string encode(const Message& message) {
     const std::size_t text = message.value && !message.text_as_before ? message.value->text.size() : 0;
-    const std::size_t crew = message.value ? message.value->crew.size() * 8 : 0, words = 64 + crew + text / 8;
+    const std::size_t voters = message.value ? message.value->voters.size() * 8 : 0,
+                      words = 64 + voters + text / 8;
     capnp::MallocMessageBuilder builder(static_cast<unsigned>(words));
     auto root = builder.initRoot<wire::Message>();
     root.setKind(static_cast<wire::Kind>(message.kind));
@@ -150,7 +151,7 @@
         if (root.hasValue()) {
             into.text_as_before = root.getValue().getTextAsBefore();
             into.value = read(root.getValue());
-            KJ_REQUIRE(!into.value->crew.empty(), "a decree without a crew");
+            KJ_REQUIRE(!into.value->voters.empty(), "a decree without voters");
         }
     });
 }
--- a/src/lamp/store.cpp
+++ b/src/lamp/store.cpp
@@ -321,12 +321,12 @@
                 if (slot != 0 && !used(slot)) batch.Delete(key(slot));
         }
         head.saved = {saved.disk,
-                      {saved.decree.number, saved.decree.crew, saved.decree.version, {}},
+                      {saved.decree.number, saved.decree.voters, saved.decree.version, {}},
                       saved.promised,
                       saved.accepted,
                       std::nullopt};
         if (saved.pending)
-            head.saved.pending = {saved.pending->number, saved.pending->crew, saved.pending->version, {}};
+            head.saved.pending = {saved.pending->number, saved.pending->voters, saved.pending->version, {}};
         batch.Put(kHead, encode(head));
         leveldb::WriteOptions synced;
         synced.sync = true;
--- a/src/lighthouse/lighthouse.cpp
+++ b/src/lighthouse/lighthouse.cpp
@@ -14,7 +14,7 @@
 namespace leaf = boost::leaf;
 using station::event;
 
-constexpr Duration kConfirmEvery = 500ms, kConfirmedFor = 1500ms, kMusterEvery = 250ms, kCrewEvery = 250ms;
+constexpr Duration kConfirmEvery = 500ms, kConfirmedFor = 1500ms, kMusterEvery = 250ms, kVotersEvery = 250ms;
 // Callers move on to another lighthouse after a second of silence.
 constexpr Duration kAnswerWithin = 900ms;
 constexpr Duration kEndAfter = 300ms, kEndAtLast = 1500ms;
@@ -243,7 +243,7 @@
     };
     const TimePoint now = clock_.now();
     lamp::Actions out;
-    lamp_->confirm(ticket, now + kAnswerWithin, now, out);
+    lamp_->quorum_read(ticket, now + kAnswerWithin, now, out);
     carry(std::move(out));
 }
 
@@ -313,7 +313,7 @@
 void Lighthouse::decree_changed() {
     const lamp::Decree& decree = lamp_->decree();
     event(LogLevel::Info, "decree",
-          {kv("number", decree.number), kv("version", decree.version), kv("crew", decree.crew.size())});
+          {kv("number", decree.number), kv("version", decree.version), kv("voters", decree.voters.size())});
     read_decree();
 }
 
@@ -417,7 +417,7 @@
     if (now >= next_confirm_) {
         next_confirm_ = now + kConfirmEvery;
         lamp::Actions out;
-        lamp_->confirm(++last_ticket_, now + kAnswerWithin, now, out);    // nobody waits for it
+        lamp_->quorum_read(++last_ticket_, now + kAnswerWithin, now, out);    // nobody waits for it
         carry(std::move(out));
     }
     if (now >= next_muster_) {
@@ -428,12 +428,12 @@
         relay_.tick(now, out);
         send(out);
     }
-    if (now >= next_crew_) {
-        next_crew_ = now + kCrewEvery;
-        look_after_crew();
+    if (now >= next_voters_) {
+        next_voters_ = now + kVotersEvery;
+        look_after_voters();
         read_decree();
     }
-    TimePoint due = std::min({convoy_->next(), next_confirm_, next_muster_, next_crew_});
+    TimePoint due = std::min({convoy_->next(), next_confirm_, next_muster_, next_voters_});
     if (const auto next = lamp_->next()) due = std::min(due, *next);
     tick_at(due);
 }
@@ -445,16 +445,16 @@
     tick_timer_ = reactor_.at(when, [this] { tick(); });
 }
 
-void Lighthouse::look_after_crew() {
+void Lighthouse::look_after_voters() {
     const TimePoint now = clock_.now();
     const auto step = steward_.next(lamp_->decree(), convoy_->members(), now);
     if (!step) return;
-    if (crew_gate_.open())
-        event(LogLevel::Info, "crew_change",
+    if (voters_gate_.open())
+        event(LogLevel::Info, "voters_change",
               {kv("in", step->in.address), kv("disk", step->in.disk),
                kv("in_place_of", step->in_place_of ? step->in_place_of->address : "nobody")});
     lamp::Actions out;
-    lamp_->change_crew(step->in, step->in_place_of, now, out);
+    lamp_->change_voters(step->in, step->in_place_of, now, out);
     carry(std::move(out));
 }
 
--- a/src/lighthouse/lighthouse.h
+++ b/src/lighthouse/lighthouse.h
@@ -57,7 +57,7 @@
     void send(const std::vector<Relay::Send>& sends);
     void members_changed();
     bool confirmed() const;
-    void look_after_crew();
+    void look_after_voters();
     void tick();
     void tick_at(TimePoint when);
     void look_after_stop();
@@ -92,9 +92,9 @@
     };
     std::deque<Checked> checked_;
     std::uint64_t decree_read_ = 0;    // the version that was read last, or is being read
-    LogGate crew_gate_;                // it is proposed again while it does not settle
+    LogGate voters_gate_;              // it is proposed again while it does not settle
     Timers::Id tick_timer_ = 0, commands_timer_ = 0;
-    TimePoint next_confirm_{}, next_muster_{}, next_crew_{};
+    TimePoint next_confirm_{}, next_muster_{}, next_voters_{};
     TimePoint stopping_since_{}, ticks_at_ = TimePoint::max();
     struct Counts {
         std::uint64_t beats = 0, ends = 0, replaces = 0, reads = 0, refused = 0, unsettled = 0;
--- a/src/lighthouse/steward.cpp
+++ b/src/lighthouse/steward.cpp
@@ -26,8 +26,8 @@
 std::optional<Steward::Step> Steward::next(const lamp::Decree& decree,
                                            const std::map<std::string, convoy::Member>& members,
                                            TimePoint now) {
-    const auto in_crew = [&](const std::string& address) {
-        return std::find_if(decree.crew.begin(), decree.crew.end(),
+    const auto is_voter = [&](const std::string& address) {
+        return std::find_if(decree.voters.begin(), decree.voters.end(),
                             [&](const lamp::Member& m) { return m.address == address; });
     };
     // One whose disk is another one by now has no vote, and so no turn.
@@ -37,27 +37,27 @@
         return it != members.end() && it->second.state == convoy::State::Alive &&
                it->second.facts.disk == m.disk;
     };
-    const auto mine = in_crew(me_.address);
-    if (mine == decree.crew.end() || !votes(*mine)) return std::nullopt;
+    const auto mine = is_voter(me_.address);
+    if (mine == decree.voters.end() || !votes(*mine)) return std::nullopt;
     std::optional<Step> step;
     std::map<lamp::Member, TimePoint> seen;
     for (const auto& [address, member] : members) {
         const convoy::Facts& f = member.facts;
         if (f.role != convoy::Role::Lighthouse || !f.quorum || member.state != convoy::State::Alive) continue;
         const lamp::Member newcomer{address, f.disk};
-        const auto there = in_crew(address);
-        if (there != decree.crew.end() && *there == newcomer) continue;
+        const auto there = is_voter(address);
+        if (there != decree.voters.end() && *there == newcomer) continue;
         const auto before = seen_.find(newcomer);
         const TimePoint since = before == seen_.end() ? now : before->second;
         seen[newcomer] = since;
         if (step || now - since < kSeenFor) continue;
         step = Step{newcomer, std::nullopt};
-        if (there != decree.crew.end()) {    // its disk was emptied, or is another one
+        if (there != decree.voters.end()) {    // its disk was emptied, or is another one
             step->in_place_of = *there;
             continue;
         }
         bool open = false;
-        for (const lamp::Member& old : decree.crew) {
+        for (const lamp::Member& old : decree.voters) {
             const Fate f = fate(old, members, now);
             if (f == Fate::Away && !step->in_place_of) step->in_place_of = old;
             open = open || f == Fate::Open;
@@ -70,7 +70,7 @@
         return std::nullopt;
     }
     if (wanted_since_ == TimePoint{}) wanted_since_ = now;
-    const auto rank = std::count_if(decree.crew.begin(), decree.crew.end(), [&](const lamp::Member& m) {
+    const auto rank = std::count_if(decree.voters.begin(), decree.voters.end(), [&](const lamp::Member& m) {
         return m.address < me_.address && votes(m);
     });
     if (now - wanted_since_ < rank * kTurn) return std::nullopt;
--- a/src/pilot/lookout.cpp
+++ b/src/pilot/lookout.cpp
@@ -14,14 +14,14 @@
 
 Lookout::Lookout(Settings settings) : settings_(std::move(settings)) {}
 
-void Lookout::lighthouses(std::vector<std::string> known, std::vector<std::string> doubted) {
+void Lookout::lighthouses(std::vector<std::string> known, std::vector<std::string> suspected) {
     const auto by_preference = [this](const std::string& a, const std::string& b) {
         return preference(settings_.me, a) < preference(settings_.me, b);
     };
     std::sort(known.begin(), known.end(), by_preference);
-    std::sort(doubted.begin(), doubted.end(), by_preference);
+    std::sort(suspected.begin(), suspected.end(), by_preference);
     known_ = std::move(known);
-    known_.insert(known_.end(), doubted.begin(), doubted.end());
+    known_.insert(known_.end(), suspected.begin(), suspected.end());
     std::erase_if(watched_, [this](const auto& item) {
         return std::find(known_.begin(), known_.end(), item.first) == known_.end();
     });
--- a/src/pilot/lookout.h
+++ b/src/pilot/lookout.h
@@ -33,8 +33,8 @@
     explicit Lookout(Settings settings);
 
     void life(std::uint64_t life) { settings_.life = life; }
-    // All lighthouses that are known, by internal address; those in `doubted` are watched last.
-    void lighthouses(std::vector<std::string> known, std::vector<std::string> doubted);
+    // All lighthouses that are known, by internal address; those in `suspected` are watched last.
+    void lighthouses(std::vector<std::string> known, std::vector<std::string> suspected);
     void heard(const std::string& from, std::uint64_t life, std::string_view bytes, TimePoint now,
                Actions& out);
     void tick(TimePoint now, std::uint32_t counts, Actions& out);
--- a/src/pilot/pilot.cpp
+++ b/src/pilot/pilot.cpp
@@ -181,9 +181,9 @@
         const auto it = convoy_->members().find(address);
         if (it == convoy_->members().end()) continue;
         const convoy::Member& m = it->second;
-        const std::string_view state = m.state == convoy::State::Alive     ? "alive"
-                                       : m.state == convoy::State::Doubted ? "doubted"
-                                                                           : "gone";
+        const std::string_view state = m.state == convoy::State::Alive       ? "alive"
+                                       : m.state == convoy::State::Suspected ? "suspected"
+                                                                             : "gone";
         event(LogLevel::Debug, "member_changed",
               {kv("member", address), kv("state", state), kv("life", m.facts.life),
                kv("counts", m.facts.counts)});
@@ -219,15 +219,15 @@
 }
 
 void Pilot::lighthouses_changed() {
-    std::vector<std::string> known, doubted;
+    std::vector<std::string> known, suspected;
     for (const auto& [address, member] : convoy_->members()) {
         if (member.facts.role != convoy::Role::Lighthouse || member.state == convoy::State::Gone) continue;
-        (member.state == convoy::State::Alive ? known : doubted).push_back(address);
+        (member.state == convoy::State::Alive ? known : suspected).push_back(address);
     }
     for (const std::string& seed : station::lighthouse_seeds(settings_)) {
         if (!convoy_->members().contains(seed)) known.push_back(seed);
     }
-    lookout_->lighthouses(std::move(known), std::move(doubted));
+    lookout_->lighthouses(std::move(known), std::move(suspected));
 }
 
 // ---- time ----
--- a/tests/convoy/convoy_test.cpp
+++ b/tests/convoy/convoy_test.cpp
@@ -31,19 +31,19 @@
     return {Network::lighthouse(0), Network::lighthouse(1), Network::lighthouse(2)};
 }
 
-// Who came to hold whom for Doubted or Gone, for all the time that this stands.
+// Who came to hold whom for Suspected or Gone, for all the time that this stands.
 struct Watch {
     explicit Watch(Network& net) {
         net.after = [this, &net](const std::string& at, const Actions& out) {
             if (net.processes[at].convoy == nullptr) return;
             for (const std::string& address : out.changed) {
                 const State state = net[at].members().at(address).state;
-                if (state == State::Doubted) doubted.insert({at, address});
+                if (state == State::Suspected) suspected.insert({at, address});
                 if (state == State::Gone) gone.insert({at, address});
             }
         };
     }
-    std::set<std::pair<std::string, std::string>> doubted, gone;    // who, whom
+    std::set<std::pair<std::string, std::string>> suspected, gone;    // who, whom
 };
 
 }    // namespace
@@ -90,7 +90,7 @@
     }
 }
 
-Test(convoy, losses_of_a_few_percent_make_nobody_doubted) {
+Test(convoy, losses_of_a_few_percent_make_nobody_suspected) {
     for (const int pilots : {11, 87}) {
         Network net(static_cast<std::uint64_t>(pilots));
         net.loss = 0.03;
@@ -102,14 +102,14 @@
             net.run(1s);
             heard = std::min(heard, net[Network::pilot(3)].heard_part(net.now, 3s));
         }
-        cr_expect(watch.doubted.empty(), "%zu with %d pilots", watch.doubted.size(), pilots);
+        cr_expect(watch.suspected.empty(), "%zu with %d pilots", watch.suspected.size(), pilots);
         cr_expect(watch.gone.empty());
         cr_expect_gt(heard, 0.98);
         cr_expect(net.agree());
     }
 }
 
-Test(convoy, who_is_cut_off_is_doubted_then_forgotten_and_returns) {
+Test(convoy, who_is_cut_off_is_suspected_then_forgotten_and_returns) {
     for (std::uint64_t seed = 1; seed <= 24; ++seed) {
         Network net(seed);
         calm(net);
@@ -121,7 +121,7 @@
         const bool long_time = seed % 4 < 2;
         net.run(3500ms);
         // Who is heard runs, whether it hears or not.
-        cr_expect_eq(net.seen_as(at, State::Doubted), from_it ? 13 : 0, "seed %lu", seed);
+        cr_expect_eq(net.seen_as(at, State::Suspected), from_it ? 13 : 0, "seed %lu", seed);
         if (to_it) cr_expect_lt(net[at].heard_part(net.now, 2s), 0.1);
         if (!to_it) cr_expect_eq(net[at].heard_part(net.now, 2s), 1.0);
         cr_expect_eq(net[at].answered_part(net.now, 2s), 0.0);
@@ -137,8 +137,8 @@
     }
 }
 
-// In a large convoy doubts are spread by word; not the doubts of one that hears nobody.
-Test(convoy, who_is_alone_keeps_its_doubts_to_itself) {
+// In a large convoy suspicions are spread by word; not the suspicions of one that hears nobody.
+Test(convoy, who_is_alone_keeps_its_suspicions_to_itself) {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
         Network net(seed);
         net.start_all(3, 150, 500ms);
@@ -148,16 +148,16 @@
         const std::string at = Network::pilot(5);
         net.cut = [&](const std::string& from, const std::string& to) { return from == at || to == at; };
         net.run(seed % 2 == 0 ? 3s : 8s);
-        cr_expect_eq(net.seen_as(at, State::Doubted), 152);
+        cr_expect_eq(net.seen_as(at, State::Suspected), 152);
         cr_expect_lt(net[at].heard_part(net.now, 2s), 0.2);
         net.cut = nullptr;
         cr_assert(net.until(1500ms, [&] { return net.agree(); }), "seed %lu", seed);
-        for (const auto& [who, whom] : watch.doubted) cr_expect(who == at || whom == at);
+        for (const auto& [who, whom] : watch.suspected) cr_expect(who == at || whom == at);
     }
 }
 
 // Two that do not hear each other, or one that does not hear the other, know by the rest that both run.
-Test(convoy, a_cut_between_two_makes_nobody_doubted) {
+Test(convoy, a_cut_between_two_makes_nobody_suspected) {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
         Network net(seed);
         calm(net);
@@ -167,7 +167,7 @@
             return (from == a && to == b) || (both && from == b && to == a);
         };
         net.run(40s);
-        cr_expect(watch.doubted.empty() && watch.gone.empty(), "seed %lu", seed);
+        cr_expect(watch.suspected.empty() && watch.gone.empty(), "seed %lu", seed);
         cr_expect_eq(net[a].heard_part(net.now, 2s), 1.0);
     }
 }
@@ -195,15 +195,15 @@
     }
 }
 
-// What it finds when it wakes is old; it doubts nobody for it, and neither do others by its word.
-Test(convoy, who_was_frozen_hears_others_before_it_doubts_them) {
+// What it finds when it wakes is old; it suspicions nobody for it, and neither do others by its word.
+Test(convoy, who_was_frozen_hears_others_before_it_suspects_them) {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
         Network net(seed);
         calm(net);
         const std::string at = Network::pilot(3);
-        // Cut off first, so that it doubts all when it freezes.
-        const bool doubts = seed % 2 == 0;
-        if (doubts) {
+        // Cut off first, so that it suspicions all when it freezes.
+        const bool suspicions = seed % 2 == 0;
+        if (suspicions) {
             net.cut = [&](const std::string& from, const std::string& to) { return from == at || to == at; };
             net.run(4s);
             net.cut = nullptr;
@@ -215,8 +215,8 @@
         Watch watch(net);
         cr_assert(net.until(2500ms, [&] { return net.agree(); }), "seed %lu", seed);
         net.run(5s);
-        for (const auto& [who, whom] : watch.doubted)
-            cr_expect(whom == at || (doubts && who == at), "seed %lu: %s doubted %s", seed, who.c_str(),
+        for (const auto& [who, whom] : watch.suspected)
+            cr_expect(whom == at || (suspicions && who == at), "seed %lu: %s suspected %s", seed, who.c_str(),
                       whom.c_str());
         cr_expect(net.agree());
     }
@@ -295,7 +295,7 @@
                     pilots + 3, static_cast<long>(agreed->count() / 1000), messages, bytes);
         cr_expect_lt(messages, 14.0);
         cr_expect_lt(bytes, 1500.0);
-        cr_expect(watch.doubted.empty());
+        cr_expect(watch.suspected.empty());
         cr_expect_gt(net[Network::pilot(2)].heard_part(net.now, 3s), 0.95);
         // A tenth dies, a tenth leaves; one is changed.
         net.after = nullptr;
@@ -369,7 +369,7 @@
         net.touched(Network::pilot(2));
         cr_assert(net.until(1s, [&] { return net.agree(); }), "seed %lu", seed);
         net.run(20s);
-        cr_expect(net.agree() && watch.doubted.empty(), "seed %lu", seed);
+        cr_expect(net.agree() && watch.suspected.empty(), "seed %lu", seed);
         for (const auto& [address, p] : net.processes) cr_expect_eq(p.convoy->tallies().spoilt, 0u);
     }
 }
--- a/tests/lamp/explore_test.cpp
+++ b/tests/lamp/explore_test.cpp
@@ -47,7 +47,7 @@
 
 std::string picture(const Saved& s) {
     std::string out = std::to_string(s.disk) + ' ' + std::to_string(s.decree.number) + s.decree.text +
-                      std::to_string(s.decree.crew.size()) + ' ' + std::to_string(s.promised.round) +
+                      std::to_string(s.decree.voters.size()) + ' ' + std::to_string(s.promised.round) +
                       s.promised.proposer + std::to_string(s.accepted.round) + s.accepted.proposer;
     return s.pending ? out + 'p' + std::to_string(s.pending->version) + s.pending->text : out;
 }
@@ -149,17 +149,17 @@
             add(static_cast<std::uint64_t>(x));
         add(s.chosen.acknowledged);
         for (const std::uint64_t least : s.asked) add(least);
-        for (const auto& [number, d] : s.chosen.decrees) add(number ^ hash(d.text) ^ d.crew.size() << 20);
+        for (const auto& [number, d] : s.chosen.decrees) add(number ^ hash(d.text) ^ d.voters.size() << 20);
         if (!seen_.insert(hash(all)).second) return;
         if (s.chosen.acknowledged > 0) survives(s);
         open_.push_back(std::move(s));
     }
     // What was acknowledged is found again on the disks that are left, though one more be lost with all
-    // power; the old crew bears that loss alone until a change of it is kept by a majority of the new.
+    // power; the old voters bear that loss alone until a change of them is kept by a majority of the new.
     static void survives(const State& s) {
         const auto member = [&](const Decree& d, std::size_t i) {
             const Member me{World::name(i), s.nodes[i]->disk.disk};
-            return std::find(d.crew.begin(), d.crew.end(), me) != d.crew.end();
+            return std::find(d.voters.begin(), d.voters.end(), me) != d.voters.end();
         };
         const Decree& newest = s.chosen.decrees.rbegin()->second;
         std::size_t members = 0, keep = 0;
@@ -167,12 +167,13 @@
             members += member(newest, i);
             keep += member(newest, i) && s.nodes[i]->disk.decree.number == newest.number;
         }
-        const bool whole = members == 3 && (newest.crew.back().disk == 0 || keep >= 2);
+        const bool whole = members == 3 && (newest.voters.back().disk == 0 || keep >= 2);
         for (std::size_t lost = whole ? 0 : 3; lost <= 3; ++lost) {
             Decree best;
             for (std::size_t i = 0; i < 3; ++i) {
                 const Decree& d = s.nodes[i]->disk.decree;
-                if (i != lost && !d.crew.empty() && (best.crew.empty() || d.number > best.number)) best = d;
+                if (i != lost && !d.voters.empty() && (best.voters.empty() || d.number > best.number))
+                    best = d;
             }
             std::size_t votes = 0;
             const Saved* pending = nullptr;
@@ -235,7 +236,7 @@
                 step(s, i, [](State& next, Node& n, Actions& out) {
                     --next.left.confirms;
                     next.asked.push_back(next.chosen.acknowledged);
-                    n.lamp.confirm(next.asked.size(), n.now + 1h, n.now, out);
+                    n.lamp.quorum_read(next.asked.size(), n.now + 1h, n.now, out);
                 });
             if (s.left.powers > 0 && (!s.left.again || i == 0)) start_anew(s, i, node.disk, &Budget::powers);
             if (s.left.kills > 0 && !node.unsynced.empty())
@@ -259,7 +260,7 @@
         if (s.left.replaced > 0 && s.nodes[2]->disk.disk == 77)
             step(s, 1, [](State& next, Node& n, Actions& out) {
                 --next.left.replaced;
-                n.lamp.change_crew({World::name(2), 77}, Member{World::name(2), 0}, n.now, out);
+                n.lamp.change_voters({World::name(2), 77}, Member{World::name(2), 0}, n.now, out);
             });
     }
 
--- a/tests/lamp/random_test.cpp
+++ b/tests/lamp/random_test.cpp
@@ -7,7 +7,7 @@
 namespace shaletray::lamp::test {
 namespace {
 
-// Replaces disks of the crew that are gone for good, as the wiring does: one after the other.
+// Replaces disks of the voters that are gone for good, as the wiring does: one after the other.
 struct Replacer {
     World& w;
 
@@ -17,36 +17,36 @@
         return nullptr;
     }
     std::vector<Member> gone() const {
-        std::vector<Member> out = w.newest().crew;
+        std::vector<Member> out = w.newest().voters;
         std::erase_if(out, [this](const Member& m) { return holder(m) != nullptr; });
         return out;
     }
-    // A majority of the newest crew holds the newest decree.
+    // A majority of the newest voters holds the newest decree.
     bool kept() const {
-        const auto& crew = w.newest().crew;
-        return static_cast<std::size_t>(std::count_if(crew.begin(), crew.end(), [this](const Member& m) {
+        const auto& voters = w.newest().voters;
+        return static_cast<std::size_t>(std::count_if(voters.begin(), voters.end(), [this](const Member& m) {
                    return holder(m) && holder(m)->disk.decree.number == w.newest().number;
-               })) > crew.size() / 2;
+               })) > voters.size() / 2;
     }
     void step() {
         const std::vector<Member> lost = gone();
         for (std::size_t i = 0; i < w.nodes.size() && !lost.empty(); ++i) {
-            const auto& crew = w.newest().crew;
+            const auto& voters = w.newest().voters;
             const Member spare{w.nodes[i].address, w.nodes[i].disk.disk};
-            if (!w.up(i) || std::find(crew.begin(), crew.end(), spare) != crew.end()) continue;
+            if (!w.up(i) || std::find(voters.begin(), voters.end(), spare) != voters.end()) continue;
             if (spare.address != lost[0].address && w.chance(0.5)) continue;
             std::size_t by = w.below(w.nodes.size());
             while (!w.up(by)) by = w.below(w.nodes.size());
-            w.call(by, [&](Lamp& l, Actions& out) { l.change_crew(spare, lost[0], w.now, out); });
+            w.call(by, [&](Lamp& l, Actions& out) { l.change_voters(spare, lost[0], w.now, out); });
             return;
         }
     }
 };
 
-void trouble(std::uint64_t seed, std::size_t crew) {
-    World w(seed, crew);
+void trouble(std::uint64_t seed, std::size_t voters) {
+    World w(seed, voters);
     Replacer replacer{w};
-    const std::size_t may_go = (crew - 1) / 2;
+    const std::size_t may_go = (voters - 1) / 2;
     w.lost = w.chance(0.5) ? 0.03 : 0.0;
     w.repeated = w.chance(0.5) ? 0.05 : 0.0;
     w.sync = Duration(1000 + static_cast<Duration::rep>(w.below(20'000)));
@@ -95,7 +95,7 @@
                 if (w.now >= safe_to_wipe && replacer.kept() && replacer.gone().size() < may_go) {
                     w.wipe(i);
                     safe_to_wipe = w.now + (may_go > 1 ? 0ms : 1000ms);
-                    if (w.chance(0.3) && w.nodes.size() < crew + 6) w.join();
+                    if (w.chance(0.3) && w.nodes.size() < voters + 6) w.join();
                     if (w.chance(0.3))
                         for (std::size_t o = 0; o < w.nodes.size(); ++o) w.stop(o, true);
                 }
@@ -119,8 +119,8 @@
         replacer.step();
         w.run(1s);
     }
-    cr_assert(replacer.gone().empty(), "seed %lu: a place in the crew stays empty", seed);
-    cr_assert_eq(w.newest().crew.size(), crew, "seed %lu", seed);
+    cr_assert(replacer.gone().empty(), "seed %lu: a place in the voters stays empty", seed);
+    cr_assert_eq(w.newest().voters.size(), voters, "seed %lu", seed);
     const std::uint64_t unsettled = w.unsettled;
     for (std::size_t o = 0; o < w.nodes.size(); ++o) {
         w.propose(o, w.versions + 1, "z" + std::to_string(w.versions + 1));
@@ -160,11 +160,11 @@
     }
 }
 
-#define SEEDS(crew, count)                                                                   \
-    Test(lamp, troubles_of_##crew) {                                                         \
+#define SEEDS(voters, count)                                                                 \
+    Test(lamp, troubles_of_##voters) {                                                       \
         const char* more = std::getenv("LAMP_SEEDS");                                        \
         const std::uint64_t seeds = more ? std::strtoull(more, nullptr, 10) : count / kLess; \
-        for (std::uint64_t seed = 1; seed <= seeds; ++seed) trouble(seed, crew);             \
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) trouble(seed, voters);           \
     }
 SEEDS(3, 150)
 SEEDS(5, 100)
--- a/tests/lamp/store_test.cpp
+++ b/tests/lamp/store_test.cpp
@@ -164,13 +164,13 @@
            a.pending == b.pending;
 }
 
-// As a lighthouse of a crew writes them, one after the other.
+// As a voter writes them, one after the other.
 struct Life {
     std::mt19937_64 random;
     Saved saved;
     explicit Life(std::uint64_t seed, const Saved& from) : random(seed), saved(from) {}
     const Saved& next() {
-        if (saved.decree.crew.empty()) saved.decree.crew = {{"10.1.0.1:7100", 0}, {"10.1.0.2:7100", 0}};
+        if (saved.decree.voters.empty()) saved.decree.voters = {{"10.1.0.1:7100", 0}, {"10.1.0.2:7100", 0}};
         saved.promised.round += 1 + random() % 3;
         saved.promised.proposer = "10.1.0.1:7100#" + std::to_string(random());
         if (saved.pending && random() % 2) {
--- a/tests/lamp/world.h
+++ b/tests/lamp/world.h
@@ -28,16 +28,16 @@
     std::map<std::uint64_t, std::string> texts;
     std::uint64_t acknowledged = 0;
 
-    // Before anything is answered from a decree that changed the crew, a majority of the new one keeps it.
+    // Before anything is answered from a decree that changed the voters, a majority of the new one keeps it.
     template <class Keeps>
     bool may_answer(const Decree& d, Keeps&& keeps) const {
         const auto before = decrees.find(d.number - 1);
-        if (d.number == 0 || before == decrees.end() || before->second.crew == d.crew) return true;
-        return static_cast<std::size_t>(std::count_if(d.crew.begin(), d.crew.end(), keeps)) >
-               d.crew.size() / 2;
+        if (d.number == 0 || before == decrees.end() || before->second.voters == d.voters) return true;
+        return static_cast<std::size_t>(std::count_if(d.voters.begin(), d.voters.end(), keeps)) >
+               d.voters.size() / 2;
     }
     std::string take(const Decree& d) {
-        if (d.crew.empty()) return {};
+        if (d.voters.empty()) return {};
         if (decrees.try_emplace(d.number, d).first->second != d) return "two decrees of one number";
         if (texts.try_emplace(d.version, d.text).first->second != d.text) return "two texts of one version";
         const auto next = decrees.upper_bound(d.number);
@@ -190,7 +190,7 @@
     }
     void confirm(std::size_t i, Duration within = 3s) {
         asked[++tickets] = {false, 0, chosen.acknowledged, {}};
-        call(i, [&](Lamp& l, Actions& out) { l.confirm(tickets, now + within, now, out); });
+        call(i, [&](Lamp& l, Actions& out) { l.quorum_read(tickets, now + within, now, out); });
     }
     bool up(std::size_t i) const { return nodes[i].lamp && nodes[i].frozen <= now; }
     void run(TimePoint until) {
--- a/tests/lighthouse/steward_test.cpp
+++ b/tests/lighthouse/steward_test.cpp
@@ -1,4 +1,4 @@
-// Who is voted into the crew, and by whose proposal.
+// Who is voted into the voters, and by whose proposal.
 #include "lighthouse/steward.h"
 
 #include <criterion/criterion.h>
@@ -15,7 +15,7 @@
 struct World {
     World() {
         for (const char* a : {"a", "b", "c"}) {
-            decree.crew.push_back({a, 0});
+            decree.voters.push_back({a, 0});
             add(a, 0, at(0s));
         }
     }
@@ -50,11 +50,11 @@
 
 }    // namespace
 
-Test(steward, leaves_a_crew_alone_that_is_whole) {
+Test(steward, leaves_the_voters_alone_who_are_whole) {
     World w;
     Steward a({"a", 0}, at(0s));
     cr_assert(!w.first(a, "a", 0s, 30s));
-    w.state("c", convoy::State::Doubted, at(1s));    // nobody could take its place
+    w.state("c", convoy::State::Suspected, at(1s));    // nobody could take its place
     cr_assert(!w.first(a, "a", 0s, 60s));
 }
 
@@ -70,10 +70,10 @@
     cr_assert(later && later->second >= 4s);
 }
 
-Test(steward, gives_a_lost_ones_place_to_a_newcomer_and_does_not_enlarge_the_crew_meanwhile) {
+Test(steward, gives_a_lost_ones_place_to_a_newcomer_and_does_not_add_to_the_voters_meanwhile) {
     World w;
     w.add("d", 9, at(0s));
-    w.state("c", convoy::State::Doubted, at(1s));
+    w.state("c", convoy::State::Suspected, at(1s));
     w.members["c"].heard = at(1s);
     Steward a({"a", 0}, at(0s));
     const auto step = w.first(a, "a", 2s, 20s);
