Replace, hand on and leave out voters by one wanted set, in time for the next loss

Change: the steward works out the set of voters that is wanted, and one decree leads there, several voters at once where that is due. Who is away (unheard for 5/8 of `catch_up`, another disk, a goodbye) or leaves is replaced by one that follows the newest decree; where nobody can, voters are left out as long as that raises the losses that are borne; sets are odd, up to two for each loss that the settings name and three. No step lowers a - (n / 2 + 1). A lighthouse that is told to stop hands its vote on before it says goodbye. Turns are half a second, not three.

--- a/src/convoy/convoy.cpp
+++ b/src/convoy/convoy.cpp
@@ -120,6 +120,12 @@
         bump(false);
     }
 
+    void quorum(bool votes) {
+        if (me_.facts.quorum == votes) return;
+        me_.facts.quorum = votes;
+        bump(true);
+    }
+
     void seeds(std::vector<std::string> seeds) {
         std::vector<Seed> kept;
         for (const std::string& address : seeds) {
@@ -1089,6 +1095,7 @@
 TimePoint Convoy::next() const { return impl_->next(); }
 void Convoy::counts(std::uint32_t pilots) { impl_->counts(pilots); }
 void Convoy::disk(std::uint64_t number) { impl_->disk(number); }
+void Convoy::quorum(bool votes) { impl_->quorum(votes); }
 void Convoy::seeds(std::vector<std::string> seeds) { impl_->seeds(std::move(seeds)); }
 void Convoy::leave(TimePoint now, Actions& out) { impl_->leave(now, out); }
 const std::map<std::string, Member>& Convoy::members() const { return impl_->members(); }
--- a/src/convoy/convoy.h
+++ b/src/convoy/convoy.h
@@ -83,6 +83,7 @@
     // steps.
     void counts(std::uint32_t pilots);
     void disk(std::uint64_t number);
+    void quorum(bool votes);    // false: it is about to end, and its disk should vote no longer
     void seeds(std::vector<std::string> seeds);    // as the settings file now has them
     void leave(TimePoint now, Actions& out);       // says goodbye to all; nothing is sent after it
 
--- a/src/lamp/lamp.cpp
+++ b/src/lamp/lamp.cpp
@@ -14,6 +14,8 @@
 using Kind = Message::Kind;
 
 constexpr std::size_t kMostProposals = 64, kMostConfirms = 4096, kMostHeld = 512;
+constexpr std::size_t kMostFollowers = 256;
+constexpr std::uint64_t kBehind = 2;    // decrees: one may be under way to it
 constexpr Duration kLongestWait = 2s;
 constexpr int kWishRounds = 20, kTellings = 6;
 
@@ -70,9 +72,14 @@
         if (confirms_.size() >= kMostConfirms) return done(ticket, Answer::Unsettled);
         confirms_.push_back({ticket, turn_, until});
     }
-    void change_voters(const Member& in, const std::optional<Member>& out) {
-        if (wish_ || in.address.empty() || holds(saved_.decree.voters, in)) return;
-        wish_ = Wish{in, out, now_ + settings_.round_time * kWishRounds};
+    void change_voters(std::vector<Member> from, std::vector<Member> to) {
+        if (to.empty() || from == to || from != saved_.decree.voters) return;
+        wish_ = Wish{std::move(from), std::move(to), now_ + settings_.round_time * kWishRounds};
+    }
+    bool follows(const Member& member, Duration within) const {
+        const auto it = followers_.find(member.address);
+        return it != followers_.end() && it->second.disk == member.disk && now_ - it->second.at <= within &&
+               it->second.decree + kBehind >= at();
     }
     void heard(const std::string& from, const std::string& bytes) {
         boost::leaf::try_handle_all(
@@ -85,7 +92,12 @@
             [&] { ++dropped_; });
     }
     void stored(std::uint64_t token) { stored_ = std::max(stored_, std::min(token, issued_)); }
-    void others(std::vector<std::string> addresses) { others_ = std::move(addresses); }
+    void others(std::vector<std::string> addresses) {
+        others_ = std::move(addresses);
+        std::erase_if(followers_, [this](const auto& f) {
+            return std::find(others_.begin(), others_.end(), f.first) == others_.end();
+        });
+    }
 
     // Every call from outside is a turn: what was asked in a later one is asked later, whatever the clock
     // says.
@@ -157,10 +169,13 @@
         TimePoint until;
     };
     struct Wish {
-        Member in;
-        std::optional<Member> in_place_of;
+        std::vector<Member> from, to;    // voters
         TimePoint until;
     };
+    struct Follower {    // what a lighthouse last said of itself
+        std::uint64_t disk = 0, decree = 0;
+        TimePoint at;
+    };
     struct Round {    // about the next decree
         bool accepting = false;
         Ballot ballot;
@@ -261,6 +276,8 @@
     }
 
     void hear(const std::string& from, const Message& m) {
+        if (followers_.contains(from) || followers_.size() < kMostFollowers)
+            followers_[from] = {m.disk, m.at, now_};
         switch (m.kind) {
             case Kind::Prepare: hear_prepare(from, m); break;
             case Kind::Accept: hear_accept(from, m); break;
@@ -398,7 +415,7 @@
         seen_ = 0;
         retry_at_ = now_;
         if (wanted_ && wanted_->at <= at()) wanted_.reset();
-        if (wish_ && holds(saved_.decree.voters, wish_->in)) wish_.reset();
+        if (wish_ && wish_->from != saved_.decree.voters) wish_.reset();    // another's change came first
         if (telling_ && telling_->at < at()) telling_.reset();
     }
     void seek() {
@@ -491,16 +508,7 @@
             return value;
         }
         if (!wish_) return std::nullopt;
-        // One address is one member: an emptied disk takes its own place rather than another's.
-        const auto itself = std::find_if(value.voters.begin(), value.voters.end(),
-                                         [this](const Member& m) { return m.address == wish_->in.address; });
-        if (itself != value.voters.end()) value.voters.erase(itself);
-        else if (wish_->in_place_of && std::erase(value.voters, *wish_->in_place_of) == 0) {
-            wish_.reset();    // another's change came first
-            return std::nullopt;
-        }
-        value.voters.push_back(wish_->in);
-        std::sort(value.voters.begin(), value.voters.end());
+        value.voters = wish_->to;
         value.version = saved_.decree.version;
         value.text = saved_.decree.text;
         return value;
@@ -693,6 +701,7 @@
     std::vector<Proposal> proposals_;
     std::vector<Confirm> confirms_;
     std::optional<Wish> wish_;
+    std::map<std::string, Follower> followers_;
     bool complete_ = false;     // what others accepted is to be decided
     bool owes_read_ = false;    // new voters are not known to keep their decree yet
     std::optional<Round> round_;
@@ -733,7 +742,8 @@
             r.message.pending);
     for (const Proposal& p : proposals_) add("proposal", p.version, p.text, p.asked <= borne_out_);
     for (const Confirm& c : confirms_) add("confirm", c.ticket, read_ && read_->turn >= c.asked);
-    if (wish_) add("wish", wish_->in.address, wish_->in.disk);
+    if (wish_)
+        for (const Member& m : wish_->to) add("wish", m.address, m.disk);
     if (round_) {
         add("round", round_->accepting, round_->ballot.round, round_->best.round, round_->best.proposer);
         for (const auto& y : round_->yes) add("yes", y);
@@ -770,10 +780,9 @@
     impl_->quorum_read(ticket, until);
     impl_->end();
 }
-void Lamp::change_voters(const Member& in, const std::optional<Member>& in_place_of, TimePoint now,
-                         Actions& out) {
+void Lamp::change_voters(std::vector<Member> from, std::vector<Member> to, TimePoint now, Actions& out) {
     impl_->begin(now, out);
-    impl_->change_voters(in, in_place_of);
+    impl_->change_voters(std::move(from), std::move(to));
     impl_->end();
 }
 void Lamp::heard(const std::string& from, const std::string& bytes, TimePoint now, Actions& out) {
@@ -794,6 +803,7 @@
 void Lamp::others(std::vector<std::string> addresses) { impl_->others(std::move(addresses)); }
 const Decree& Lamp::decree() const { return impl_->decree(); }
 std::optional<TimePoint> Lamp::confirmed() const { return impl_->confirmed(); }
+bool Lamp::follows(const Member& member, Duration within) const { return impl_->follows(member, within); }
 bool Lamp::is_voter() const { return impl_->is_voter(); }
 std::uint64_t Lamp::dropped() const { return impl_->dropped(); }
 std::string Lamp::picture() const { return impl_->picture(); }
--- a/src/lamp/lamp.h
+++ b/src/lamp/lamp.h
@@ -93,9 +93,10 @@
                  Actions& out);
     // Settled once decree() is known to be the newest that was chosen when this was asked.
     void quorum_read(Ticket ticket, TimePoint until, TimePoint now, Actions& out);
-    // Proposes that `in` votes, in the place of `in_place_of` where given. Refused while one is under way.
-    void change_voters(const Member& in, const std::optional<Member>& in_place_of, TimePoint now,
-                       Actions& out);
+    // Proposes that in the place of `from`, if these vote still, `to` (sorted) vote: all at once, since it is
+    // one decree of the old voters, and nothing is answered from it before a majority of the new ones keeps
+    // it. It replaces an earlier wish and ends after twenty rounds.
+    void change_voters(std::vector<Member> from, std::vector<Member> to, TimePoint now, Actions& out);
     void heard(const std::string& from, const std::string& bytes, TimePoint now, Actions& out);
     void stored(std::uint64_t token, TimePoint now, Actions& out);
     void tick(TimePoint now, Actions& out);
@@ -107,6 +108,8 @@
     // When a majority last bore out that decree() was the newest; none: not yet in this life.
     std::optional<TimePoint> confirmed() const;
     bool is_voter() const;
+    // Whether it said within this time, on this disk, that it holds the newest decree or nearly so.
+    bool follows(const Member& member, Duration within) const;
     std::uint64_t dropped() const;    // messages that could not be read
     std::string picture() const;      // all that matters but times, for exploring and for logs
 
--- a/src/lighthouse/lighthouse.cpp
+++ b/src/lighthouse/lighthouse.cpp
@@ -14,7 +14,8 @@
 namespace leaf = boost::leaf;
 using station::event;
 
-constexpr Duration kConfirmEvery = 500ms, kConfirmedFor = 1500ms, kMusterEvery = 250ms, kVotersEvery = 250ms;
+constexpr Duration kConfirmEvery = 500ms, kConfirmedFor = 1500ms, kMusterEvery = 250ms, kVotersEvery = 250ms,
+                   kFollowsFor = 2s;
 // Callers move on to another lighthouse after a second of silence.
 constexpr Duration kAnswerWithin = 900ms;
 constexpr Duration kEndAfter = 300ms, kEndAtLast = 1500ms;
@@ -35,6 +36,14 @@
     return {503, "{\"error\":\"no majority in time\"}", "Retry-After: 0.1\r\n"};
 }
 
+// "10.1.0.24:7100/0,10.2.0.9:7100/77": addresses and disks
+std::string named(const std::vector<lamp::Member>& voters) {
+    std::string text;
+    for (const lamp::Member& m : voters)
+        text += fmt::format("{}{}/{}", text.empty() ? "" : ",", m.address, m.disk);
+    return text;
+}
+
 muster::Muster::Settings muster_settings(const std::string& me, std::uint64_t life,
                                          const station::NodeSettings& s) {
     muster::Muster::Settings m;
@@ -54,7 +63,10 @@
       muster_(muster_settings(address_, life_, settings_)),
       relay_(muster_),
       gallery_(Gallery::Settings{.life = life_}, muster_),
-      steward_({address_, store_->loaded().disk}, clock_.now()),
+      steward_({{address_, store_->loaded().disk},
+                static_cast<std::size_t>(std::max(0, settings_.lost_machines)),
+                settings_.bounds.catch_up},
+               clock_.now()),
       checker_(reactor_) {
     const TimePoint now = clock_.now();
     const std::uint64_t seed = std::hash<std::string>{}(address_) ^ life_;
@@ -447,33 +459,39 @@
 
 void Lighthouse::look_after_voters() {
     const TimePoint now = clock_.now();
-    const auto step = steward_.next(lamp_->decree(), convoy_->members(), now);
+    const auto follows = [this](const lamp::Member& m) { return lamp_->follows(m, kFollowsFor); };
+    const auto step = steward_.next(lamp_->decree(), convoy_->members(), follows, now);
+    hands_on_ = stopping_since_ != TimePoint{} && step.has_value();
     if (!step) return;
     if (voters_gate_.open())
-        event(LogLevel::Info, "voters_change",
-              {kv("in", step->in.address), kv("disk", step->in.disk),
-               kv("in_place_of", step->in_place_of ? step->in_place_of->address : "nobody")});
+        event(LogLevel::Info, "voters_change", {kv("from", named(step->from)), kv("to", named(step->to))});
     lamp::Actions out;
-    lamp_->change_voters(step->in, step->in_place_of, now, out);
+    lamp_->change_voters(step->from, step->to, now, out);
     carry(std::move(out));
 }
 
 // ---- the end ----
 
+// Who votes hands its vote on before it says goodbye, where somebody can take it.
 void Lighthouse::stop() {
     if (stopping_since_ != TimePoint{}) return;
     stopping_since_ = clock_.now();
-    event(LogLevel::Info, "lighthouse_stopping", {kv("calls", calls_->under_way())});
+    event(LogLevel::Info, "lighthouse_stopping",
+          {kv("calls", calls_->under_way()), kv("votes", lamp_->is_voter())});
     calls_->stop();
-    convoy::Actions out;
-    convoy_->leave(stopping_since_, out);
-    carry(out);
+    steward_.leave();
+    convoy_->quorum(false);
+    look_after_voters();
 }
 
 void Lighthouse::look_after_stop() {
     if (stopping_since_ == TimePoint{}) return;
     const Duration stopping = clock_.now() - stopping_since_;
-    if (stopping < kEndAfter || (stopping < kEndAtLast && calls_->under_way() > 0)) return;
+    if (stopping < kEndAfter) return;
+    if (stopping < kEndAtLast && (calls_->under_way() > 0 || (lamp_->is_voter() && hands_on_))) return;
+    convoy::Actions out;
+    convoy_->leave(clock_.now(), out);
+    carry(out);
     reactor_.stop();
 }
 
--- a/src/lighthouse/lighthouse.h
+++ b/src/lighthouse/lighthouse.h
@@ -95,6 +95,7 @@
     LogGate voters_gate_;              // it is proposed again while it does not settle
     Timers::Id tick_timer_ = 0, commands_timer_ = 0;
     TimePoint next_confirm_{}, next_muster_{}, next_voters_{};
+    bool hands_on_ = false;    // its vote, before it ends
     TimePoint stopping_since_{}, ticks_at_ = TimePoint::max();
     struct Counts {
         std::uint64_t beats = 0, ends = 0, replaces = 0, reads = 0, refused = 0, unsettled = 0;
--- a/src/lighthouse/steward.h
+++ b/src/lighthouse/steward.h
@@ -1,10 +1,17 @@
-// Who should vote in the lamp's voters, by what the convoy knows: the wanted voters and the next step to it.
-// Pure.
+// Who should vote on the register: the wanted set of voters, by what the convoy knows, and the next step to
+// it. Pure.
+//
+// A set of n voters of which a answer bears a - (n / 2 + 1) further losses. No step lowers that number:
+// voters that are away or leave are replaced, and where nobody can take their places they are left out as
+// long as that raises it. A step may change several voters at once, since it is one decree of the old voters,
+// and nothing is answered from it before a majority of the new ones keeps it (lamp.h).
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "convoy/convoy.h"
 #include "lamp/lamp.h"
@@ -13,26 +20,43 @@
 
 class Steward {
 public:
+    struct Settings {
+        lamp::Member me;
+        std::size_t losses = 1;    // machines that the system may lose at once, by its settings
+        Duration catch_up = std::chrono::seconds(4);    // after which the next ones may be lost
+    };
     struct Step {
-        lamp::Member in;
-        std::optional<lamp::Member> in_place_of;
+        std::vector<lamp::Member> from, to;    // sorted
     };
-    Steward(lamp::Member me, TimePoint now) : me_(std::move(me)), started_(now) {}
+    // Whether a lighthouse has said lately that it holds the newest decree, or nearly so.
+    using Follows = std::function<bool(const lamp::Member&)>;
+
+    Steward(Settings settings, TimePoint now);
+    // This lighthouse is about to end: it hands its vote on, if somebody can take it.
+    void leave() { leaving_ = true; }
     // The step that this lighthouse is to propose now; none: the voters are as they should be, or it is
-    // another one's turn. A newcomer votes once it was seen for a second. It takes the place of a member of
-    // its address with another disk, else of one that was unheard for six seconds or said goodbye three
-    // seconds ago. While a member's fate is open it waits: one voter more, with one dead, bears less than
-    // before. Of the voters the first by address acts at once, the others each three seconds later.
+    // another one's turn. The first voter by address acts at once, as does one that leaves; the others each
+    // half a second later.
     std::optional<Step> next(const lamp::Decree& decree, const std::map<std::string, convoy::Member>& members,
-                             TimePoint now);
+                             const Follows& follows, TimePoint now);
+    // The losses that voters bear of whom so many answer; below 0: they have no majority.
+    static int bears(std::size_t answer, std::size_t voters) {
+        return static_cast<int>(answer) - static_cast<int>(voters / 2 + 1);
+    }
 
 private:
-    enum class Fate { Here, Open, Away };
-    Fate fate(const lamp::Member& member, const std::map<std::string, convoy::Member>& members,
-              TimePoint now) const;
+    using Members = std::map<std::string, convoy::Member>;
+    enum class Fate { Answers, Leaves, Unknown, Away };
+    Fate fate(const lamp::Member& voter, const Members& members, TimePoint now) const;
+    std::vector<lamp::Member> newcomers(const lamp::Decree& decree, const Members& members,
+                                        const Follows& follows, TimePoint now);
+    std::vector<lamp::Member> wanted(const std::vector<lamp::Member>& voters, const Members& members,
+                                     std::vector<lamp::Member> newcomers, TimePoint now) const;
 
-    lamp::Member me_;
+    Settings settings_;
+    std::size_t least_, most_;    // voters: none are left out below, none added above
     TimePoint started_;
+    bool leaving_ = false;
     std::map<lamp::Member, TimePoint> seen_;    // newcomers, and since when
     TimePoint wanted_since_{};
 };
--- a/tests/lamp/explore_test.cpp
+++ b/tests/lamp/explore_test.cpp
@@ -260,7 +260,9 @@
         if (s.left.replaced > 0 && s.nodes[2]->disk.disk == 77)
             step(s, 1, [](State& next, Node& n, Actions& out) {
                 --next.left.replaced;
-                n.lamp.change_voters({World::name(2), 77}, Member{World::name(2), 0}, n.now, out);
+                std::vector<Member> to = n.lamp.decree().voters;
+                std::replace(to.begin(), to.end(), Member{World::name(2), 0}, Member{World::name(2), 77});
+                n.lamp.change_voters(n.lamp.decree().voters, to, n.now, out);
             });
     }
 
--- a/tests/lamp/random_test.cpp
+++ b/tests/lamp/random_test.cpp
@@ -37,7 +37,12 @@
             if (spare.address != lost[0].address && w.chance(0.5)) continue;
             std::size_t by = w.below(w.nodes.size());
             while (!w.up(by)) by = w.below(w.nodes.size());
-            w.call(by, [&](Lamp& l, Actions& out) { l.change_voters(spare, lost[0], w.now, out); });
+            std::vector<Member> to = voters;    // an emptied disk takes its own place rather than another's
+            const auto itself = std::find_if(to.begin(), to.end(),
+                                             [&](const Member& m) { return m.address == spare.address; });
+            std::replace(to.begin(), to.end(), itself == to.end() ? lost[0] : Member(*itself), spare);
+            std::sort(to.begin(), to.end());
+            w.call(by, [&](Lamp& l, Actions& out) { l.change_voters(voters, to, w.now, out); });
             return;
         }
     }
