Acknowledge no write whose file's name may be lost

Cause: LevelDB syncs the folder before a sync of its MANIFEST only (strace of lamp_tests: fdatasync of the folder, then of the MANIFEST; none at a log's). Between a new log and the next MANIFEST, synced and acknowledged votes stood in a file whose name does not last. SyncedNames synced the folder at renames only and ignored its failures; MARK is unsynced as well.

Change: a log's first sync syncs the folder too, through Disk::SyncFolder, which the tests' disk sees. Its failures are failed writes. A failed one after CURRENT's rename made LevelDB remove the MANIFEST that CURRENT leads to by then, so nothing is removed while a rename is not settled.

--- a/src/lamp/store.cpp
+++ b/src/lamp/store.cpp
@@ -3,7 +3,6 @@
 #include <fcntl.h>
 #include <leveldb/cache.h>
 #include <leveldb/db.h>
-#include <leveldb/env.h>
 #include <leveldb/write_batch.h>
 #include <sys/random.h>
 #include <unistd.h>
@@ -19,6 +18,7 @@
 #include <optional>
 #include <thread>
 
+#include "lamp/disk.h"
 #include "lamp/lamp_message.h"
 
 namespace shaletray::lamp {
@@ -39,22 +39,57 @@
     return number;
 }
 
-void sync_folder(const std::string& folder) {
-    const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (fd < 0) return;
-    ::fsync(fd);
-    ::close(fd);
-}
-
-// LevelDB renames CURRENT into its place without syncing the folder: a loss of power would undo it.
+// A name lasts only once its folder was synced. LevelDB itself does this before each sync of a MANIFEST, so
+// the tables that one names are safe; but votes stand in a new log long before the next MANIFEST, and CURRENT
+// is renamed into its place after the last. Both are made to last here.
 class SyncedNames : public leveldb::EnvWrapper {
 public:
-    explicit SyncedNames(leveldb::Env& files) : EnvWrapper(&files) {}
+    SyncedNames(Disk& disk, std::string folder)
+        : EnvWrapper(&disk), disk_(disk), folder_(std::move(folder)) {}
+    leveldb::Status NewWritableFile(const std::string& name, leveldb::WritableFile** out) override {
+        leveldb::Status status = target()->NewWritableFile(name, out);
+        if (status.ok() && name.ends_with(".log")) *out = new Log(*this, *out);
+        return status;
+    }
     leveldb::Status RenameFile(const std::string& from, const std::string& to) override {
         leveldb::Status status = target()->RenameFile(from, to);
-        if (status.ok()) sync_folder(std::filesystem::path(to).parent_path().string());
+        return status.ok() ? Settle() : status;
+    }
+    // CURRENT may be the old one or the new after a loss of power: until that is settled what either leads to
+    // must stay. LevelDB would remove the new one's MANIFEST.
+    leveldb::Status RemoveFile(const std::string& name) override {
+        if (unsure_) return leveldb::Status::IOError(name, "is kept until names last");
+        return target()->RemoveFile(name);
+    }
+    leveldb::Status Settle() {
+        const leveldb::Status status = disk_.SyncFolder(folder_);
+        unsure_ = !status.ok();
         return status;
     }
+
+private:
+    class Log : public leveldb::WritableFile {
+    public:
+        Log(SyncedNames& names, leveldb::WritableFile* file) : names_(names), file_(file) {}
+        leveldb::Status Append(const leveldb::Slice& data) override { return file_->Append(data); }
+        leveldb::Status Close() override { return file_->Close(); }
+        leveldb::Status Flush() override { return file_->Flush(); }
+        leveldb::Status Sync() override {
+            leveldb::Status status = file_->Sync();
+            if (!status.ok() || lasts_) return status;
+            status = names_.disk_.SyncFolder(names_.folder_);    // settles no rename of another thread
+            lasts_ = status.ok();
+            return status;
+        }
+
+    private:
+        SyncedNames& names_;
+        const std::unique_ptr<leveldb::WritableFile> file_;
+        bool lasts_ = false;    // by its name
+    };
+    Disk& disk_;
+    const std::string folder_;
+    std::atomic<bool> unsure_ = false;
 };
 
 class Silent : public leveldb::Logger {    // else it keeps a log file of its own
@@ -62,9 +97,10 @@
     void Logv(const char*, std::va_list) override {}
 };
 
-// The number of the newest write that is on the disk, beside the database and not synced: where it is ahead
-// of what the database holds, files were cut and votes forgotten. After a loss of power it may be old or
-// gone.
+// The number of the newest write that is on the disk, beside the database. Neither it nor its name is ever
+// synced, and it is written after what it tells of: it claims "at least this was acknowledged", no more.
+// Where it is ahead of what the database holds, files were cut and votes forgotten. After a loss of power it
+// may be old, torn or gone, which is no sign of anything.
 class Mark {
 public:
     explicit Mark(const std::string& path) : fd_(::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644)) {
@@ -109,8 +145,11 @@
 
 class OnDisk : public Store {
 public:
-    OnDisk(std::string folder, leveldb::Env& files)
-        : folder_(std::move(folder)), env_(files), cache_(leveldb::NewLRUCache(kCache)) {}
+    OnDisk(std::string folder, Disk& disk)
+        : folder_(std::move(folder)),
+          disk_(disk),
+          env_(disk, folder_),
+          cache_(leveldb::NewLRUCache(kCache)) {}
     ~OnDisk() override {
         if (thread_.joinable()) {
             {
@@ -167,7 +206,8 @@
         for (const auto& entry : std::filesystem::directory_iterator(folder_, error)) {
             const std::string name = entry.path().filename().string();
             // What a database leaves that was never finished: nothing was put into it.
-            if (name != "LOCK" && name != "MARK" && name != "MANIFEST-000001" && name != "000001.dbtmp")
+            if (name != "LOCK" && name != "MARK" && name != "DISTRUST" && name != "MANIFEST-000001" &&
+                name != "000001.dbtmp")
                 return true;
         }
         return false;
@@ -236,52 +276,79 @@
         std::error_code error;
         std::filesystem::create_directories(folder_, error);
         if (error) return leveldb::Status::IOError(folder_, error.message());
-        sync_folder(std::filesystem::path(folder_).parent_path().string());
+        const std::string parent = std::filesystem::path(folder_).parent_path().string();
+        if (leveldb::Status named = disk_.SyncFolder(parent); !named.ok()) return named;
         mark_.emplace(file("MARK"));
-        bool fresh = !has_files() && mark_->value() == 0;
+        distrusted_ = env_.FileExists(file("DISTRUST"));
+        bool fresh = !distrusted_ && !has_files() && mark_->value() == 0;
         Head head;
         bool has_decree = false;
         leveldb::Status status = open_database();
         if (status.ok() && !fresh) status = read_all(head, has_decree);
-        if (status.IsNotFound() && mark_->value() == 0) {    // the disk failed before the first write
-            fresh = true;
+        if (status.IsIOError()) return status;
+        if (status.IsNotFound() && !distrusted_ && mark_->value() == 0) {
+            fresh = true;    // the disk failed before the first write
             status = {};
         }
-        if (damaged(status)) {
-            if (!repair().ok()) status = leveldb::Status::Corruption("beyond repair");
-            else if (status = open_database(); status.ok()) status = read_all(head, has_decree);
-        }
-        if (status.IsIOError()) return status;
+        if (status.ok() && distrusted_) status = leveldb::Status::Corruption("was being repaired");
+        if (status.ok() && head.sequence < mark_->value())
+            status = leveldb::Status::Corruption("older than what was stored");
         sequence_ = std::max(head.sequence, mark_->value());
         if (status.ok() && fresh) {
             loaded_.disk = founder ? 0 : draw_disk();
             return write(loaded_, true);
         }
-        if (status.ok() && head.sequence < mark_->value())
-            status = leveldb::Status::Corruption("older than what was stored");
         if (status.ok()) {
             loaded_ = std::move(head.saved);
             last_ = std::move(head);
             return status;
         }
-        given_up_ = status.ToString();
-        loaded_ = {};
+        return give_up(status.ToString(), std::move(head), has_decree);
+    }
+    leveldb::Status give_up(std::string why, Head head, bool has_decree) {
+        given_up_ = std::move(why);
+        leveldb::Status status = distrust();
+        if (!status.ok()) return status;
+        if (!has_decree && repair().ok()) {
+            status = open_database();
+            if (status.ok()) status = read_all(head, has_decree);
+            if (status.IsIOError()) return status;
+            sequence_ = std::max(head.sequence, mark_->value());
+        }
         loaded_.disk = draw_disk();
         if (has_decree) loaded_.decree = std::move(head.saved.decree);
-        if (!db_) status = start_over();
-        return db_ ? write(loaded_, true) : status;
+        if (db_) status = write(loaded_, true);
+        if (db_ && !damaged(status)) return status;
+        status = start_over();
+        return status.ok() ? write(loaded_, true) : status;
+    }
+    // What is repaired or begun anew may open well at any moment, and hold less than was acknowledged: a file
+    // says so, by a name that lasts, until the whole state is written.
+    leveldb::Status distrust() {
+        leveldb::WritableFile* made = nullptr;
+        leveldb::Status status = env_.NewWritableFile(file("DISTRUST"), &made);
+        const std::unique_ptr<leveldb::WritableFile> closed(made);
+        if (status.ok()) status = env_.Settle();
+        distrusted_ = distrusted_ || status.ok();
+        return status;
     }
-    leveldb::Status start_over() {
+    leveldb::Status trust() {
+        leveldb::Status status = env_.RemoveFile(file("DISTRUST"));
+        if (status.ok()) status = env_.Settle();
+        distrusted_ = distrusted_ && !status.ok();
+        return status;
+    }
+    leveldb::Status start_over() {    // distrusted by now
         db_.reset();
         std::error_code ignored;
-        for (const auto& entry : std::filesystem::directory_iterator(folder_, ignored))
-            if (entry.path().filename() != "MARK") std::filesystem::remove_all(entry.path(), ignored);
-        sync_folder(folder_);
-        mark_.reset();
-        std::filesystem::remove(file("MARK"), ignored);    // the last, as it tells what was lost
-        const leveldb::Status status = open_database();
-        mark_.emplace(file("MARK"));
-        return status;
+        std::filesystem::remove_all(file("lost"), ignored);
+        std::vector<std::string> names;
+        leveldb::Status status = env_.GetChildren(folder_, &names);
+        for (const std::string& name : names)
+            if (status.ok() && name != "." && name != ".." && name != "MARK" && name != "DISTRUST")
+                status = env_.RemoveFile(file(name.c_str()));
+        if (status.ok()) status = env_.Settle();
+        return status.ok() ? open_database() : status;
     }
 
     static std::string key(std::uint64_t slot) { return "text" + std::to_string(slot); }
@@ -335,14 +402,14 @@
         sequence_ = head.sequence;
         last_ = std::move(head);
         mark_->set(sequence_);
-        return status;
+        return distrusted_ ? trust() : status;
     }
     // After an error the database takes no more writes until it is opened again.
     leveldb::Status reopen() {
         const leveldb::Status status = open_database();
         if (!damaged(status)) return status;
-        if (repair().ok() && open_database().ok()) return leveldb::Status::OK();
-        return start_over();    // all that counts is in memory, and is written next
+        const leveldb::Status told = distrust();
+        return told.ok() ? start_over() : told;    // all that counts is in memory, and is written next
     }
 
     void run() {
@@ -386,6 +453,7 @@
     }
 
     const std::string folder_;
+    Disk& disk_;
     SyncedNames env_;
     Silent silent_;
     std::unique_ptr<leveldb::Cache> cache_;
@@ -395,6 +463,7 @@
     std::string given_up_;
     Head last_;    // as it is on the disk, without texts
     std::uint64_t sequence_ = 0;
+    bool distrusted_ = false;    // by a file that lasts
 
     std::thread thread_;
     std::mutex mutex_;    // guards what follows
@@ -409,12 +478,12 @@
 }    // namespace
 
 boost::leaf::result<std::unique_ptr<Store>> Store::open(const std::string& folder, bool founder) {
-    return open(folder, founder, *leveldb::Env::Default());
+    static Disk disk;
+    return open(folder, founder, disk);
 }
 
-boost::leaf::result<std::unique_ptr<Store>> Store::open(const std::string& folder, bool founder,
-                                                        leveldb::Env& files) {
-    auto store = std::make_unique<OnDisk>(folder, files);
+boost::leaf::result<std::unique_ptr<Store>> Store::open(const std::string& folder, bool founder, Disk& disk) {
+    auto store = std::make_unique<OnDisk>(folder, disk);
     const leveldb::Status status = store->begin(founder);
     if (!status.ok()) return boost::leaf::new_error(DiskTrouble{status.ToString()});
     return std::unique_ptr<Store>(std::move(store));
--- a/src/lamp/store.h
+++ b/src/lamp/store.h
@@ -8,12 +8,10 @@
 
 #include "lamp/lamp.h"
 
-namespace leveldb {
-class Env;
-}
-
 namespace shaletray::lamp {
 
+class Disk;    // see disk.h
+
 struct DiskTrouble {
     std::string why;
 };
@@ -25,9 +23,9 @@
     // read only in part, or falls short of what was once stored, is given up: the folder begins anew under
     // another disk number, with the decree where that could be read, and given_up() says why.
     static boost::leaf::result<std::unique_ptr<Store>> open(const std::string& folder, bool founder);
-    // Likewise by another's files, which must outlive it.
+    // Likewise on another disk, which must outlive it.
     static boost::leaf::result<std::unique_ptr<Store>> open(const std::string& folder, bool founder,
-                                                            leveldb::Env& files);
+                                                            Disk& disk);
     // Nothing is kept beyond this process: for machines without a disk.
     static std::unique_ptr<Store> in_memory(bool founder);
     virtual ~Store() = default;
