Refuse another body under a taken number with 409, and remember the last 64 bodies

Under an overtaken number that goes by digests (XXH3, 128 bits) of the last 64 versions in force, which are part of the decree: they follow from the decree before, so voters work them out and only Learn and the disk carry them, and an emptied or new member knows them with its first decree. What is not remembered is acknowledged, as the protocol says; a number that was never in force is, whatever the body. Bytes are compared, since operators send again unchanged.

Found by the new tests on the way: a proposal that came to a lighthouse while it was deciding an older decree was answered from that one, though a newer had been acknowledged (true, but older than what was asked for): all answers now wait for what was borne out since they were asked. And a reader was answered after a freeze by what a majority had said before it, its time long over: time goes first now.

World checks each Conflict against what was chosen, both ways.

--- a/src/lamp/lamp.capnp
+++ b/src/lamp/lamp.capnp
@@ -21,6 +21,13 @@
   version @2 :UInt64;
   text @3 :Data;
   textAsBefore @4 :Bool;  # left out: that of the decree of the same version that the reader holds
+  earlier @5 :List(Digest);  # of the versions before; left out where it follows from the decree that the reader holds
+}
+
+struct Digest {
+  version @0 :UInt64;
+  low @1 :UInt64;  # of its text: XXH3, 128 bits
+  high @2 :UInt64;
 }
 
 enum Kind {
--- a/src/lamp/lamp.cpp
+++ b/src/lamp/lamp.cpp
@@ -235,6 +235,7 @@
     void put_value(Message& m, const Decree& value) const {
         m.text_as_before = value.version == saved_.decree.version && value.text == saved_.decree.text;
         m.value = value;
+        m.value->earlier.clear();
         if (m.text_as_before) m.value->text.clear();
     }
     // The value with its text in place, or none where it is not one that can follow the decree held.
@@ -245,8 +246,18 @@
         if (m.text_as_before) value.text = held.text;
         if (value.version < held.version || (value.version == held.version && value.text != held.text))
             return std::nullopt;
+        value.earlier = earlier(value.version);
         return value;
     }
+    // What a decree of this version remembers that follows the one held: the same at every voter.
+    std::vector<Digest> earlier(std::uint64_t version) const {
+        const Decree& held = saved_.decree;
+        std::vector<Digest> out = held.earlier;
+        if (version == held.version || held.version == 0) return out;
+        out.push_back(digest(held.version, held.text));
+        if (out.size() > kMostEarlier) out.erase(out.begin());
+        return out;
+    }
     void send(const std::string& to, const Message& m) {
         if (to == settings_.me.address) own_.push_back(m);
         else out_->sends.push_back({to, encode(m)});
@@ -502,6 +513,7 @@
         Decree value;
         value.number = at();
         value.voters = saved_.decree.voters;
+        value.earlier = earlier(best ? best->version : saved_.decree.version);
         if (best) {
             value.version = best->version;
             value.text = best->text;
@@ -540,7 +552,6 @@
         if (saved_.decree.voters == before) {
             // Whoever keeps it now is asked for each later one, so none was chosen when it was sent out.
             bear_out(begun, turn);
-            answer_proposals(true);
         } else owes_read_ = true;    // nothing is answered before a majority of the new voters keeps it
         to.merge(voter_addresses());
         to.erase(settings_.me.address);
@@ -597,18 +608,26 @@
 
     // --- answers and times
 
-    void answer_proposals(bool all) {
+    void answer_proposals() {
         std::erase_if(proposals_, [&](const Proposal& p) {
-            if (at() == 0 || newer(p) || (!all && !borne_out(p.asked))) return false;
-            const bool same = p.version == saved_.decree.version && p.text == saved_.decree.text;
-            done(p.ticket, same ? Answer::Settled : Answer::Superseded);
+            if (newer(p) || !borne_out(p.asked)) return false;
+            done(p.ticket, judged(p));
             return true;
         });
     }
+    Answer judged(const Proposal& p) const {    // of a version that is not over the one held
+        const Decree& held = saved_.decree;
+        if (p.version == held.version) return p.text == held.text ? Answer::Settled : Answer::Conflict;
+        const auto known = std::find_if(held.earlier.begin(), held.earlier.end(),
+                                        [&p](const Digest& d) { return d.version == p.version; });
+        return known == held.earlier.end() || *known == digest(p.version, p.text) ? Answer::Superseded
+                                                                                  : Answer::Conflict;
+    }
     void advance() {
-        answer_proposals(false);
+        answer_proposals();
+        // What was borne out before a freeze is of no use after it.
         std::erase_if(confirms_, [&](const Confirm& c) {
-            if (!borne_out(c.asked)) return false;
+            if (!borne_out(c.asked) || now_ >= c.until) return false;
             done(c.ticket, Answer::Settled);
             return true;
         });
@@ -728,7 +747,7 @@
         (one(parts), ...);
     };
     const auto decree = [&](const Decree& d) {
-        add("decree", d.number, d.version, d.text);
+        add("decree", d.number, d.version, d.text, d.earlier.size());
         for (const Member& m : d.voters) add(m.address, m.disk);
     };
     add(life_, saved_.disk, issued_ - stored_, dirty_, complete_, owes_read_, seen_);
--- a/src/lamp/lamp.h
+++ b/src/lamp/lamp.h
@@ -23,11 +23,17 @@
     std::uint64_t disk = 0;    // 0: a founder's; else drawn when an empty folder was first opened
     auto operator<=>(const Member&) const = default;
 };
+struct Digest {    // of a configuration's text; two that differ by nothing but blanks differ
+    std::uint64_t version = 0, low = 0, high = 0;
+    auto operator<=>(const Digest&) const = default;
+};
 struct Decree {
     std::uint64_t number = 0;      // 0: the founding, nothing decided yet
     std::vector<Member> voters;    // who decides on the next one
     std::uint64_t version = 0;
     std::string text;    // the configuration as the operator sent it
+    // Of the versions that were held before, up to kMostEarlier, ascending: follows from the decree before.
+    std::vector<Digest> earlier{};
     bool operator==(const Decree&) const = default;
 };
 struct Ballot {
@@ -55,8 +61,15 @@
     Duration round_time = std::chrono::milliseconds(250);    // after which a round is begun anew
 };
 
+constexpr std::size_t kMostEarlier = 64;
+
 using Ticket = std::uint64_t;
-enum class Answer { Settled, Superseded, Unsettled };    // Unsettled: no majority in time, may or may not be
+enum class Answer {
+    Settled,
+    Superseded,
+    Conflict,     // its version is or was another text's
+    Unsettled,    // no majority in time, may or may not be
+};
 
 struct Actions {
     struct Send {
@@ -86,12 +99,13 @@
     Lamp& operator=(Lamp&&) noexcept;
     Lamp(const Lamp&);    // for exploring what may follow; two that run are two lives
 
-    // Versions begin with 1. Settled once a decree of this version or a later one is chosen and kept by a
-    // majority; Superseded where that is another version's (acknowledged likewise). Answered by `until` at
-    // the latest.
+    // Versions begin with 1. Settled once a decree of this version and text is chosen and kept by a majority;
+    // Superseded once one of a later version is (acknowledged likewise), unless this version is remembered to
+    // have had another text; Conflict where it has. Answered by `until` at the latest.
     void propose(Ticket ticket, std::uint64_t version, std::string text, TimePoint until, TimePoint now,
                  Actions& out);
-    // Settled once decree() is known to be the newest that was chosen when this was asked.
+    // Settled once decree() is known to be the newest that was chosen when this was asked; never after
+    // `until`, however late the process gets to run.
     void quorum_read(Ticket ticket, TimePoint until, TimePoint now, Actions& out);
     // Proposes that in the place of `from`, if these vote still, `to` (sorted) vote: all at once, since it is
     // one decree of the old voters, and nothing is answered from it before a majority of the new ones keeps
--- a/src/lamp/lamp_message.cpp
+++ b/src/lamp/lamp_message.cpp
@@ -4,6 +4,7 @@
 #include <capnp/serialize.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cstring>
 
 #include "lamp/lamp.capnp.h"
@@ -33,6 +34,12 @@
         voters[i].setAddress(decree.voters[i].address.c_str());
         voters[i].setDisk(decree.voters[i].disk);
     }
+    auto earlier = to.initEarlier(static_cast<unsigned>(decree.earlier.size()));
+    for (unsigned i = 0; i < earlier.size(); ++i) {
+        earlier[i].setVersion(decree.earlier[i].version);
+        earlier[i].setLow(decree.earlier[i].low);
+        earlier[i].setHigh(decree.earlier[i].high);
+    }
     if (with_text)
         to.setText(
             capnp::Data::Reader(reinterpret_cast<const kj::byte*>(decree.text.data()), decree.text.size()));
@@ -49,6 +56,10 @@
         KJ_REQUIRE(member.getAddress().size() <= kLongestName);
         decree.voters.push_back({text_of(member.getAddress()), member.getDisk()});
     }
+    const auto earlier = from.getEarlier();
+    for (unsigned i = earlier.size() - std::min<unsigned>(earlier.size(), kMostEarlier); i < earlier.size();
+         ++i)
+        decree.earlier.push_back({earlier[i].getVersion(), earlier[i].getLow(), earlier[i].getHigh()});
     const auto text = from.getText();
     decree.text.assign(reinterpret_cast<const char*>(text.begin()), text.size());
     return decree;
@@ -112,6 +123,11 @@
 
 std::uint64_t checksum(std::string_view bytes) { return XXH3_64bits(bytes.data(), bytes.size()); }
 
+Digest digest(std::uint64_t version, std::string_view text) {
+    const XXH128_hash_t sum = XXH3_128bits(text.data(), text.size());
+    return {version, sum.low64, sum.high64};
+}
+
 Head::TextAt text_at(std::uint64_t slot, std::string_view text) {
     const XXH128_hash_t sum = XXH3_128bits(text.data(), text.size());
     return {text.empty() ? 0 : slot, text.size(), sum.low64, sum.high64};
@@ -120,7 +136,8 @@
 std::string encode(const Message& message) {
     const std::size_t text = message.value && !message.text_as_before ? message.value->text.size() : 0;
     const std::size_t voters = message.value ? message.value->voters.size() * 8 : 0,
-                      words = 64 + voters + text / 8;
+                      earlier = message.value ? message.value->earlier.size() * 3 : 0,
+                      words = 64 + voters + earlier + text / 8;
     capnp::MallocMessageBuilder builder(static_cast<unsigned>(words));
     auto root = builder.initRoot<wire::Message>();
     root.setKind(static_cast<wire::Kind>(message.kind));
--- a/src/lamp/lamp_message.h
+++ b/src/lamp/lamp_message.h
@@ -62,5 +62,6 @@
 boost::leaf::result<Head> decode_head(std::string_view bytes);
 Head::TextAt text_at(std::uint64_t slot, std::string_view text);    // slot: 0 where the text is empty
 std::uint64_t checksum(std::string_view bytes);
+Digest digest(std::uint64_t version, std::string_view text);
 
 }    // namespace shaletray::lamp
--- a/src/lamp/store.cpp
+++ b/src/lamp/store.cpp
@@ -392,8 +392,11 @@
                       saved.promised,
                       saved.accepted,
                       std::nullopt};
-        if (saved.pending)
+        head.saved.decree.earlier = saved.decree.earlier;
+        if (saved.pending) {
             head.saved.pending = {saved.pending->number, saved.pending->voters, saved.pending->version, {}};
+            head.saved.pending->earlier = saved.pending->earlier;
+        }
         batch.Put(kHead, encode(head));
         leveldb::WriteOptions synced;
         synced.sync = true;
--- a/src/lighthouse/lighthouse.cpp
+++ b/src/lighthouse/lighthouse.cpp
@@ -231,12 +231,19 @@
     const lamp::Ticket ticket = ++last_ticket_;
     const TimePoint now = clock_.now();
     tickets_[ticket] = [this, version, now, answer = std::move(answer)](lamp::Answer outcome) {
-        const bool settled = outcome != lamp::Answer::Unsettled;
-        counts_.unsettled += !settled;
-        event(LogLevel::Info, settled ? "configuration_settled" : "configuration_unsettled",
+        const bool conflict = outcome == lamp::Answer::Conflict,
+                   unsettled = outcome == lamp::Answer::Unsettled;
+        counts_.conflicts += conflict;
+        counts_.unsettled += unsettled;
+        event(LogLevel::Info,
+              conflict    ? "configuration_conflict"
+              : unsettled ? "configuration_unsettled"
+                          : "configuration_settled",
               {kv("version", version), kv("held", lamp_->decree().version),
                kv("took_ms", (clock_.now() - now) / 1ms)});
-        answer(settled ? helm::Queue::Answer{200, "{}", {}} : come_back());
+        if (unsettled) return answer(come_back());
+        if (conflict) return answer(trouble(409, "revision: this number was taken by another body"));
+        answer({200, "{}", {}});
     };
     lamp::Actions out;
     lamp_->propose(ticket, version, std::move(text), now + kAnswerWithin, now, out);
@@ -498,11 +505,12 @@
 std::string Lighthouse::counters_text() const {
     const signal::Mailer::Counts& m = mailer_->counts();
     return fmt::format(
-        "beats={} ends={} replaces={} reads={} refused={} unsettled={} pilots={} servers={} failed_writes={} "
+        "beats={} ends={} replaces={} reads={} refused={} conflicts={} unsettled={} pilots={} servers={} "
+        "failed_writes={} "
         "mail_sent={} mail_bytes={} mail_dropped={} mail_spoilt={}",
-        counts_.beats, counts_.ends, counts_.replaces, counts_.reads, counts_.refused, counts_.unsettled,
-        gallery_.pilots(), muster_.servers().size(), store_->failed_writes(), m.sent, m.sent_bytes, m.dropped,
-        m.spoilt);
+        counts_.beats, counts_.ends, counts_.replaces, counts_.reads, counts_.refused, counts_.conflicts,
+        counts_.unsettled, gallery_.pilots(), muster_.servers().size(), store_->failed_writes(), m.sent,
+        m.sent_bytes, m.dropped, m.spoilt);
 }
 
 }    // namespace shaletray::lighthouse
--- a/src/lighthouse/lighthouse.h
+++ b/src/lighthouse/lighthouse.h
@@ -98,7 +98,7 @@
     bool hands_on_ = false;    // its vote, before it ends
     TimePoint stopping_since_{}, ticks_at_ = TimePoint::max();
     struct Counts {
-        std::uint64_t beats = 0, ends = 0, replaces = 0, reads = 0, refused = 0, unsettled = 0;
+        std::uint64_t beats = 0, ends = 0, replaces = 0, reads = 0, refused = 0, conflicts = 0, unsettled = 0;
     } counts_;
 };
 
--- a/tests/lamp/world.h
+++ b/tests/lamp/world.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <map>
 #include <queue>
 #include <random>
@@ -23,6 +24,16 @@
 constexpr std::uint64_t kLess = 1;
 #endif
 
+// The voters with `in` in the place of `out`; an emptied disk takes its own place rather than another's.
+inline std::vector<Member> replaced(std::vector<Member> voters, const Member& out, const Member& in) {
+    const auto itself =
+        std::find_if(voters.begin(), voters.end(), [&](const Member& m) { return m.address == in.address; });
+    const Member leaves = itself == voters.end() ? out : *itself;
+    std::replace(voters.begin(), voters.end(), leaves, in);
+    std::sort(voters.begin(), voters.end());
+    return voters;
+}
+
 struct Register {    // what any lighthouse ever took for chosen
     std::map<std::uint64_t, Decree> decrees;
     std::map<std::uint64_t, std::string> texts;
@@ -36,6 +47,12 @@
         return static_cast<std::size_t>(std::count_if(d.voters.begin(), d.voters.end(), keeps)) >
                d.voters.size() / 2;
     }
+    // Of the versions that are remembered: another text was chosen under it.
+    bool conflicts(std::uint64_t version, const std::string& text) const {
+        const auto it = texts.find(version);
+        return it != texts.end() && it->second != text &&
+               static_cast<std::size_t>(std::distance(it, texts.end())) <= kMostEarlier + 1;
+    }
     std::string take(const Decree& d) {
         if (d.voters.empty()) return {};
         if (decrees.try_emplace(d.number, d).first->second != d) return "two decrees of one number";
@@ -77,6 +94,7 @@
     std::priority_queue<Event> events;
     std::set<std::pair<std::size_t, std::size_t>> cut;
     std::map<Ticket, Asked> asked;
+    std::function<void(Ticket, Answer, const Decree&)> answered;    // whatever the answer
     std::map<Member, std::uint64_t> kept;    // the newest decree that each disk ever held
     Register chosen;
     double lost = 0.0, repeated = 0.0;
@@ -162,6 +180,7 @@
         }
         for (const Actions::Done& d : out.done) {
             const Asked& a = asked.at(d.ticket);
+            if (answered) answered(d.ticket, d.answer, n.lamp->decree());
             ++(d.answer == Answer::Unsettled ? unsettled : settled);
             if (d.answer == Answer::Unsettled) continue;
             const Decree& held = n.lamp->decree();
@@ -174,6 +193,7 @@
             cr_assert(held.version >= a.version);
             const bool same = held.version == a.version && held.text == a.text;
             cr_assert_eq(same, d.answer == Answer::Settled);
+            cr_assert_eq(chosen.conflicts(a.version, a.text), d.answer == Answer::Conflict);
             chosen.acknowledged = std::max(chosen.acknowledged, held.version);
         }
     }
