--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 # For the tests, the laboratory and its reports, and the format.
 MORE_PACKAGES = libgtest-dev libcriterion-dev gnuplot-nox clang-format
 
-.PHONY: deps experiment build test test-plain test-sanitize lint format run run-balancer serve example clean
+.PHONY: deps experiment mutations build test test-plain test-sanitize lint format run run-balancer serve example clean
 
 # Needs the right to install packages.
 deps:
@@ -44,6 +44,11 @@
 experiment: build
 	exec build/experiment_$(NAME)
 
+# Breaks the code in each way that lab/mutations holds, and demands that the tests named there find it: make
+# mutations, or make mutations NAMES="vote-before-sync ...".
+mutations:
+	JOBS=$(JOBS) lab/mutations/play.sh build-mutations $(NAMES)
+
 # The whole system on loopback for twenty seconds: three pilots and lighthouses, emulated servers, an operator
 # and clients, figures on the terminal. SEED=, LIGHTHOUSES= and LOAD= from the environment.
 run: build
@@ -60,4 +65,4 @@
 	exec build/toy_server
 
 clean:
-	rm -rf build build-test build-sanitize target
+	rm -rf build build-test build-sanitize build-mutations target
