Say when contact with a majority is lost, by times that derive from bounds.contact

Quorum (src/lighthouse/quorum.h, pure) holds those times, all shares of contact: 1/6 between quorum reads, 1/2 for which one counts, 1/3 between tries at most; on today's sites 500 ms, 1.5 s and 1 s. It says what changed: quorum_lost and quorum_regained in the log, quorum= and quorum_losses= in the figures. Readiness and what pilots are told go by it, at the moment of asking, so that a woken process is found out before it has heard anything.

--- a/src/lamp/lamp.cpp
+++ b/src/lamp/lamp.cpp
@@ -16,7 +16,6 @@
 constexpr std::size_t kMostProposals = 64, kMostConfirms = 4096, kMostHeld = 512;
 constexpr std::size_t kMostFollowers = 256;
 constexpr std::uint64_t kBehind = 2;    // decrees: one may be under way to it
-constexpr Duration kLongestWait = 2s;
 constexpr int kWishRounds = 20, kTellings = 6;
 
 std::uint64_t mix(std::uint64_t x) {    // splitmix64's
@@ -539,7 +538,8 @@
     void back_off() {
         round_.reset();
         losses_ = std::min(losses_ + 1, 5);
-        const Duration most = std::min<Duration>(settings_.round_time / 16 * (1 << losses_), kLongestWait);
+        const Duration most =
+            std::min<Duration>(settings_.round_time / 16 * (1 << losses_), settings_.longest_wait);
         retry_at_ = now_ + draw(most / 8, most);
     }
     void decide() {
@@ -660,7 +660,7 @@
         }
         if (telling_ && now_ >= telling_->due) {
             if (++telling_->tries >= kTellings) return telling_.reset();
-            telling_->wait = std::min(telling_->wait * 2, kLongestWait);
+            telling_->wait = std::min(telling_->wait * 2, settings_.longest_wait);
             telling_->due = now_ + telling_->wait;
             Message notice = message(Kind::Notice);
             notice.ballot = chosen_;
@@ -678,7 +678,7 @@
             else {
                 std::set<std::string> to = voter_addresses();
                 for (const std::string& address : round_->yes) to.erase(address);
-                round_->wait = std::min(round_->wait * 2, kLongestWait);
+                round_->wait = std::min(round_->wait * 2, settings_.longest_wait);
                 round_->due = now_ + round_->wait;
                 send_round(to);
                 seek();
@@ -691,7 +691,7 @@
         if (read_ && now_ >= read_->due) {
             std::set<std::string> to = voter_addresses();
             for (const auto& [address, pending] : read_->answers) to.erase(address);
-            read_->wait = std::min(read_->wait * 2, kLongestWait);
+            read_->wait = std::min(read_->wait * 2, settings_.longest_wait);
             read_->due = now_ + read_->wait;
             send_read(to);
             seek();
--- a/src/lamp/lamp.h
+++ b/src/lamp/lamp.h
@@ -59,6 +59,8 @@
     std::uint64_t seed =
         0;    // another one in each life: ballots are told apart by it (and by the start time)
     Duration round_time = std::chrono::milliseconds(250);    // after which a round is begun anew
+    // The most between two tries: how long after a cut's end the first word of it may take.
+    Duration longest_wait = std::chrono::seconds(2);
 };
 
 constexpr std::size_t kMostEarlier = 64;
--- a/src/lighthouse/lighthouse.cpp
+++ b/src/lighthouse/lighthouse.cpp
@@ -14,8 +14,7 @@
 namespace leaf = boost::leaf;
 using station::event;
 
-constexpr Duration kConfirmEvery = 500ms, kConfirmedFor = 1500ms, kMusterEvery = 250ms, kVotersEvery = 250ms,
-                   kFollowsFor = 2s;
+constexpr Duration kMusterEvery = 250ms, kVotersEvery = 250ms, kFollowsFor = 2s;
 // Callers move on to another lighthouse after a second of silence.
 constexpr Duration kAnswerWithin = 900ms;
 constexpr Duration kEndAfter = 300ms, kEndAtLast = 1500ms;
@@ -67,6 +66,7 @@
                 static_cast<std::size_t>(std::max(0, settings_.lost_machines)),
                 settings_.bounds.catch_up},
                clock_.now()),
+      quorum_(settings_.bounds.contact, clock_.now()),
       checker_(reactor_) {
     const TimePoint now = clock_.now();
     const std::uint64_t seed = std::hash<std::string>{}(address_) ^ life_;
@@ -77,6 +77,7 @@
     l.votes = settings_.quorum_member;
     if (settings_.bootstrap) l.founders = seeds;
     l.seed = seed;
+    l.longest_wait = quorum_.longest_wait();
     lamp_ = std::make_unique<lamp::Lamp>(l, store_->loaded(), now);
 
     convoy::Settings c;
@@ -110,7 +111,8 @@
         [this](const Call& call, std::shared_ptr<Caller> caller) { take(call, std::move(caller)); },
         helm::longest_body);
     if (!settings_.readiness.empty())
-        readiness_ = serve_readiness(reactor_, settings_.readiness, [this] { return confirmed(); });
+        readiness_ =
+            serve_readiness(reactor_, settings_.readiness, [this] { return quorum_.held(clock_.now()); });
     members_changed();
     decree_changed();
     event(LogLevel::Info, "lighthouse_started",
@@ -294,7 +296,7 @@
             auto have = watch::decode_have(letter.bytes);
             if (!have) break;
             std::vector<Gallery::Send> out;
-            gallery_.confirmed(confirmed());
+            gallery_.confirmed(quorum_.held(clock_.now()));
             gallery_.heard(letter.from, *have, now, out);
             send(out);
             break;
@@ -315,6 +317,7 @@
 }
 
 void Lighthouse::carry(lamp::Actions&& actions) {
+    look_after_quorum();
     for (auto& store : actions.stores) store_->put(std::move(store));
     for (const auto& send : actions.sends) mailer_->session(send.to, signal::Kind::Lamp, send.bytes);
     // Pilots are told before anybody hears that it is settled.
@@ -362,7 +365,7 @@
     if (chart.version <= gallery_.version()) return;    // a later one was shorter, and read before
     gallery_.chart(std::move(chart));
     std::vector<Gallery::Send> out;
-    gallery_.confirmed(confirmed());
+    gallery_.confirmed(quorum_.held(clock_.now()));
     gallery_.tell(clock_.now(), out);
     send(out);
 }
@@ -379,7 +382,7 @@
     if (told_pilots_ == muster_.sequence()) return;
     told_pilots_ = muster_.sequence();
     std::vector<Gallery::Send> out;
-    gallery_.confirmed(confirmed());
+    gallery_.confirmed(quorum_.held(clock_.now()));
     gallery_.tell(clock_.now(), out);
     send(out);
 }
@@ -406,9 +409,13 @@
     lamp_->others(std::move(others));
 }
 
-bool Lighthouse::confirmed() const {
-    const auto at = lamp_->confirmed();
-    return at && clock_.now() - *at <= kConfirmedFor;
+void Lighthouse::look_after_quorum() {
+    const auto change = quorum_.look(lamp_->confirmed(), clock_.now());
+    if (!change) return;
+    const lamp::Decree& decree = lamp_->decree();
+    event(change->held ? LogLevel::Info : LogLevel::Warning, change->held ? "quorum_regained" : "quorum_lost",
+          {kv(change->held ? "without_ms" : "held_ms", change->after / 1ms), kv("version", decree.version),
+           kv("voters", decree.voters.size()), kv("voter", lamp_->is_voter())});
 }
 
 // ---- time ----
@@ -434,7 +441,7 @@
         carry(std::move(out));
     }
     if (now >= next_confirm_) {
-        next_confirm_ = now + kConfirmEvery;
+        next_confirm_ = now + quorum_.ask_every();
         lamp::Actions out;
         lamp_->quorum_read(++last_ticket_, now + kAnswerWithin, now, out);    // nobody waits for it
         carry(std::move(out));
@@ -505,12 +512,12 @@
 std::string Lighthouse::counters_text() const {
     const signal::Mailer::Counts& m = mailer_->counts();
     return fmt::format(
-        "beats={} ends={} replaces={} reads={} refused={} conflicts={} unsettled={} pilots={} servers={} "
-        "failed_writes={} "
+        "beats={} ends={} replaces={} reads={} refused={} conflicts={} unsettled={} quorum={} "
+        "quorum_losses={} pilots={} servers={} failed_writes={} "
         "mail_sent={} mail_bytes={} mail_dropped={} mail_spoilt={}",
         counts_.beats, counts_.ends, counts_.replaces, counts_.reads, counts_.refused, counts_.conflicts,
-        counts_.unsettled, gallery_.pilots(), muster_.servers().size(), store_->failed_writes(), m.sent,
-        m.sent_bytes, m.dropped, m.spoilt);
+        counts_.unsettled, quorum_.held(clock_.now()) ? 1 : 0, quorum_.losses(), gallery_.pilots(),
+        muster_.servers().size(), store_->failed_writes(), m.sent, m.sent_bytes, m.dropped, m.spoilt);
 }
 
 }    // namespace shaletray::lighthouse
--- a/src/lighthouse/lighthouse.h
+++ b/src/lighthouse/lighthouse.h
@@ -15,6 +15,7 @@
 #include "lamp/store.h"
 #include "lighthouse/checker.h"
 #include "lighthouse/gallery.h"
+#include "lighthouse/quorum.h"
 #include "lighthouse/relay.h"
 #include "lighthouse/steward.h"
 #include "muster/muster.h"
@@ -56,7 +57,7 @@
     void send(const std::vector<Gallery::Send>& sends);
     void send(const std::vector<Relay::Send>& sends);
     void members_changed();
-    bool confirmed() const;
+    void look_after_quorum();
     void look_after_voters();
     void tick();
     void tick_at(TimePoint when);
@@ -75,6 +76,7 @@
     Relay relay_;
     Gallery gallery_;
     Steward steward_;
+    Quorum quorum_;
     Checker checker_;
     std::unique_ptr<signal::Mailer> mailer_;
     std::unique_ptr<Waker> stored_;
--- a/tests/lamp/world.h
+++ b/tests/lamp/world.h
@@ -98,7 +98,7 @@
     std::map<Member, std::uint64_t> kept;    // the newest decree that each disk ever held
     Register chosen;
     double lost = 0.0, repeated = 0.0;
-    Duration link = 1ms, sync = 2ms;
+    Duration link = 1ms, sync = 2ms, longest_wait = 2s;
     std::uint64_t order = 0, tickets = 0, sent = 0, bytes = 0, settled = 0, unsettled = 0, versions = 0;
 
     explicit World(std::uint64_t seed, std::size_t founders) : random(seed) {
@@ -119,6 +119,7 @@
         s.me = {n.address, n.disk.disk};
         s.founders = founders;
         s.seed = random();
+        s.longest_wait = longest_wait;
         kept[{n.address, n.disk.disk}] = n.disk.decree.number;
         n.life = ++order;
         ++n.lives;
