Count pilots until they said goodbye or a quorum's side may drop them

Now a QuotaLease (pure) keeps the electorate: whoever was met counts until its goodbye or a later incarnation. A lease to refill needs touch both ways with a lighthouse that a quorum bears out, or with more than half of the pilots; it lasts 10 s. An unheard one is dropped after 20 s in which this pilot was in touch with such a lighthouse and with at least half of those that were known when the other was last heard. The invariant and why it holds stand in quota_lease.h. For touch both ways convoy keeps for each member of up to 20 when it last proved that it hears us, by its answer or by our own beat in its packets; above that it is answered_part.

Ruled out: dropping by silence and pilots alone (two newcomers on the smaller side make it the larger one); quorum of lighthouses alone (all quotas would stop when the core is down, today they don't).

--- a/src/convoy/convoy.cpp
+++ b/src/convoy/convoy.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::size_t kMostMembers = 8000;
 constexpr std::size_t kSmall = 32;      // up to here everybody meets everybody within a few rounds
+constexpr std::size_t kMet = 20;        // and up to here each one's proof that it hears this process is new
 constexpr std::size_t kMiddle = 128;    // and up to here beats prove life; above, a sample stands for all
 constexpr std::size_t kSmallPings = 3, kPings = 2;    // a round
 constexpr std::size_t kDrawn = 8;                     // of these the one unheard for longest is pinged
@@ -38,6 +39,7 @@
 constexpr int kLighthouseTries = 3;    // of each seed, before a lighthouse goes on without it
 constexpr Duration kLongestJoin = 2s, kUnjoined = 150ms;
 constexpr std::size_t kFewSamples = 4;
+constexpr int kEchoed = 4;    // of this process's rounds: its older beats, told by others, prove nothing
 
 enum class Source { News, Join, Sync };
 
@@ -198,6 +200,8 @@
                });
     }
 
+    bool meets_each() const { return roll_.here() <= kMet; }
+
     double answered_part(TimePoint now, Duration within) const {
         if (roll_.here() == 0) return 1.0;
         return part(now, within, [](const Sample& s) { return std::pair(true, s.answered); });
@@ -437,12 +441,24 @@
         r.beat_at = now;
     }
 
-    void take_beats(const Packet& p, TimePoint now, Actions& out) {
-        for (const auto& [hash, beat] : p.beats)
+    // This process's own beat, as another one knows it: so that one hears of this one.
+    void take_echo(Record* from, std::uint8_t beat, TimePoint now) {
+        if (from == nullptr || beat == 0 || from->member->ended) return;
+        const int age = (self_.beat - beat + 255) % 255;
+        if (age > kEchoed) return;
+        TimePoint& answered = from->member->answered;
+        answered = std::max(answered, now - age * s_.every);
+    }
+
+    void take_beats(Record* from, const Packet& p, TimePoint now, Actions& out) {
+        for (const auto& [hash, beat] : p.beats) {
+            if (hash == self_.hash) take_echo(from, beat, now);
             if (Record* const r = roll_.by_hash(hash); r != nullptr) take_beat(*r, beat, now, out);
+        }
         if (p.row.empty() || p.digest != digest() || p.row.size() != roll_.here() + 1) return;
         std::size_t at = 0;
         in_order("", [&](Record& r) {
+            if (&r == &self_) take_echo(from, p.row[at], now);
             take_beat(r, p.row[at], now, out);
             return ++at < p.row.size();
         });
@@ -504,7 +520,9 @@
                 }
             }
         }
-        if (fresh) take_beats(p, now, out);
+        const bool same_life = r != nullptr && p.life == r->member->facts.life;
+        if (fresh && same_life && p.digest == digest()) r->member->agreed = now;
+        if (fresh) take_beats(same_life ? r : nullptr, p, now, out);
         switch (p.kind) {
             case Kind::Ping: {
                 Packet answer = head(Kind::Answer, p.number);
@@ -693,7 +711,10 @@
 
     void note(const Record& r, std::uint32_t number) {
         for (Sample& s : samples_)
-            if (s.number == number && s.record == &r) s.answered = true;
+            if (s.number == number && s.record == &r) {
+                s.answered = true;
+                r.member->answered = std::max(r.member->answered, s.sent);
+            }
     }
 
     void relay(const std::string& from, const Packet& p, Actions& out) {
@@ -756,16 +777,20 @@
         return answered * 2 < asked;
     }
 
-    // Of those drawn, the ones unheard for longest; where members are few all are drawn.
-    std::vector<Record*> targets() {
+    // Of those drawn, the ones unheard for longest; where members are few all are drawn, and after those that
+    // are unheard come those that showed for longest not that they hear this process.
+    std::vector<Record*> targets(TimePoint now) {
         std::vector<Record*> chosen;
         const std::size_t wanted = roll_.here() < kSmall ? kSmallPings : kPings;
         if (roll_.here() < kSmall) {
             chosen = draw_alive(roll_.size(), nullptr);
             std::erase_if(chosen, [](const Record* r) { return r->probed; });
-            std::stable_sort(chosen.begin(), chosen.end(), [](const Record* a, const Record* b) {
-                return a->member->heard < b->member->heard;
-            });
+            const auto order = [&](const Record* r) {
+                const bool heard = now - r->member->heard <= 2 * s_.every;
+                return std::pair(heard, heard ? r->member->answered : r->member->heard);
+            };
+            std::stable_sort(chosen.begin(), chosen.end(),
+                             [&](const Record* a, const Record* b) { return order(a) < order(b); });
             if (chosen.size() > wanted) chosen.resize(wanted);
             return chosen;
         }
@@ -796,7 +821,7 @@
         self_.beat = static_cast<std::uint8_t>(self_.beat % 255 + 1);
         ++rounds_;
         forget(now, out);
-        for (Record* r : targets()) {
+        for (Record* r : targets(now)) {
             if (!try_it(*r, now, out)) break;
             samples_.push_back({r, now, number_, false});
             if (samples_.size() > kMostSamples) samples_.pop_front();
@@ -1104,6 +1129,7 @@
 double Convoy::answered_part(TimePoint now, Duration within) const {
     return impl_->answered_part(now, within);
 }
+bool Convoy::meets_each() const { return impl_->meets_each(); }
 bool Convoy::joined() const { return impl_->joined(); }
 const Tallies& Convoy::tallies() const { return impl_->tallies(); }
 
--- a/src/convoy/convoy.h
+++ b/src/convoy/convoy.h
@@ -38,8 +38,12 @@
 struct Member {
     Facts facts;
     State state = State::Alive;
-    bool ended = false;     // Gone by its own word; else Gone is only unheard, and may come back
-    TimePoint heard{};      // when anything proved that this life ran; zero: nothing has yet
+    bool ended = false;    // Gone by its own word; else Gone is only unheard, and may come back
+    TimePoint heard{};     // when anything proved that this life ran; zero: nothing has yet
+    // The newest moment of this process of which the member proved that it had heard of it, by an answer or
+    // by this process's beat in what it sends; zero: none yet.
+    TimePoint answered{};
+    TimePoint agreed{};     // when it last said that it knows the same lives and versions as this process
     TimePoint changed{};    // its state
 };
 
@@ -103,6 +107,9 @@
     // least) the part that was answered. 1 where there are no others. heard_part says only that it hears
     // them.
     double answered_part(TimePoint now, Duration within) const;
+    // Whether each member's heard and answered are newer than four seconds where all is well; if not, only
+    // heard_part and answered_part tell of a cut within that time.
+    bool meets_each() const;
     const Tallies& tallies() const;
     bool joined() const;    // a lighthouse has answered with all that it knows, or none is to be asked
 
--- a/src/convoy/roll.cpp
+++ b/src/convoy/roll.cpp
@@ -89,7 +89,7 @@
     m.facts = facts;
     m.state = state;
     m.changed = now;
-    m.heard = TimePoint{};
+    m.heard = m.answered = m.agreed = TimePoint{};
     record.version = version;
     record.beat = 0;
     record.beat_at = TimePoint{};
--- a/src/pilot/lookout.cpp
+++ b/src/pilot/lookout.cpp
@@ -27,6 +27,13 @@
     });
 }
 
+std::vector<std::string> Lookout::confirmed(TimePoint now, Duration within) const {
+    std::vector<std::string> those;
+    for (const auto& [address, w] : watched_)
+        if (w.confirmed && now - w.heard <= within) those.push_back(address);
+    return those;
+}
+
 // Those that answer stay; in the place of one that does not, the next one is tried.
 void Lookout::choose(TimePoint now) {
     const auto silent = [&](const Watched& w) {
--- a/src/pilot/lookout.h
+++ b/src/pilot/lookout.h
@@ -44,6 +44,8 @@
     const std::map<std::string, muster::Server>& servers() const { return roster_.servers(); }
     // A lighthouse that a majority bore out has told this life all that there is, and this life has it.
     bool caught_up() const { return caught_up_ && table_ != nullptr; }
+    // The lighthouses whose last word, not older than `within`, was borne out by a majority.
+    std::vector<std::string> confirmed(TimePoint now, Duration within) const;
     struct Counts {
         std::uint64_t news = 0, wholes = 0, patches = 0, spoilt = 0;
     };
--- a/src/pilot/pilot.cpp
+++ b/src/pilot/pilot.cpp
@@ -13,9 +13,7 @@
 using station::event;
 
 constexpr Duration kPeersEvery = 250ms, kFleetEvery = 500ms;
-// A pilot that hears less than half of the others refills for this long; they forget it after convoy's
-// forget_after at the earliest, which is twice as long.
-constexpr Duration kHeardWithin = 3s, kRefillAlone = 10s;
+constexpr Duration kConfirmedWithin = 3s;    // a lighthouse's word, for the lease on quotas
 // After the order to stop: new clients come for as long as the platform has not noticed (it asks each second,
 // and believes the second silence); what is open may end until shortly before the process is killed.
 constexpr Duration kAcceptOn = 2200ms, kEndBefore = 500ms;
@@ -38,7 +36,8 @@
     : settings_(std::move(settings)),
       address_(station::pilot_address(settings_.ip, settings_)),
       life_(static_cast<std::uint64_t>(std::max<std::int64_t>(1, clock_.now().time_since_epoch().count()))),
-      fleet_({zone_names(settings_), 300ms}) {
+      fleet_({zone_names(settings_), 300ms}),
+      lease_(address_) {
     const TimePoint now = clock_.now();
     const std::uint64_t seed = std::hash<std::string>{}(address_) ^ life_;
 
@@ -143,6 +142,7 @@
     mailer_->life(life_);
     lookout_->life(life_);
     begin_tide();
+    lease_.end();
     set_quotas();
 }
 
@@ -270,21 +270,17 @@
 void Pilot::look_after_peers() {
     const TimePoint now = clock_.now();
     next_peers_ = now + kPeersEvery;
-    tide::Peers peers;
-    peers.ring.push_back(address_);
-    std::uint32_t most = 0;
-    for (const auto& [address, member] : convoy_->members()) {
-        if (member.facts.role != convoy::Role::Pilot || member.state == convoy::State::Gone) continue;
-        peers.ring.push_back(address);
-        most = std::max(most, member.facts.counts);
+    tide::Peers peers =
+        lease_.look(*convoy_, lookout_->confirmed(now, kConfirmedWithin), lookout_->caught_up(), now);
+    convoy_->counts(lease_.counted());
+    desk_->pilots(std::max(lease_.counted(), static_cast<std::uint32_t>(peers.ring.size())));
+    const bool leased = peers.divisor > 0 && peers.refill_until > now;
+    if (leased != was_leased_) {
+        was_leased_ = leased;
+        event(
+            LogLevel::Info, leased ? "quota_lease_begins" : "quota_lease_ended",
+            {kv("counted", lease_.counted()), kv("divisor", peers.divisor), kv("pilots", peers.ring.size())});
     }
-    std::sort(peers.ring.begin(), peers.ring.end());
-    const auto own = static_cast<std::uint32_t>(peers.ring.size());
-    convoy_->counts(own);
-    desk_->pilots(own);
-    if (convoy_->heard_part(now, kHeardWithin) >= 0.5) heard_most_ = now;
-    peers.divisor = convoy_->joined() ? std::max(own, most) : 0;
-    peers.refill_until = heard_most_ + kRefillAlone;
     tide_->peers(std::move(peers), now);
 }
 
--- a/src/pilot/pilot.h
+++ b/src/pilot/pilot.h
@@ -11,6 +11,7 @@
 #include "net/listener.h"
 #include "pilot/desk.h"
 #include "pilot/lookout.h"
+#include "pilot/quota_lease.h"
 #include "signal/mailer.h"
 #include "station/settings_file.h"
 #include "tide/tide.h"
@@ -55,6 +56,7 @@
     std::unique_ptr<convoy::Convoy> convoy_;
     std::unique_ptr<tide::Tide> tide_;
     channel::Fleet fleet_;
+    QuotaLease lease_;
     channel::Passage passage_;
     std::unique_ptr<Lookout> lookout_;
     std::unique_ptr<signal::Mailer> mailer_;
@@ -62,9 +64,9 @@
     std::unique_ptr<Listener> listener_;
     std::unique_ptr<CallServer> readiness_;
     Timers::Id tick_timer_ = 0;
-    TimePoint next_peers_{}, next_fleet_{}, heard_most_{};
+    TimePoint next_peers_{}, next_fleet_{};
     TimePoint stopping_since_{};
-    bool was_ready_ = false;
+    bool was_ready_ = false, was_leased_ = false;
 };
 
 }    // namespace shaletray::pilot
--- /dev/null
+++ b/src/pilot/quota_lease.h
@@ -0,0 +1,73 @@
+// A pilot's lease on its part of the quotas: by how many it divides them, and until when it may refill. Pure.
+//
+// Invariant: the parts 1/divisor of all pilots that may refill at any moment sum up to at most one. It holds
+// because each of them divides by all others that may:
+// - Whoever was ever met counts until it said goodbye or came back as a later incarnation. Silence alone
+//   takes nobody out; the failure detector's Gone doesn't either.
+// - A lease ends kLease after this pilot last was in touch, both ways, with a lighthouse whose word a
+//   quorum of lighthouses bore out, or with more than half of the pilots. It begins, or begins again, when
+//   those in touch count this pilot, and for the first time when such a lighthouse knows the same members.
+// - A pilot that was unheard for kDropAfter is no longer counted if, all that time, this one was in touch
+//   with the quorum of lighthouses and with at least half of the pilots. Half of which ones: of those that
+//   were known when the unheard one was last heard, for newcomers since then are unknown to it. More than
+//   half and at least half of the same ones meet in one pilot, two quorums of lighthouses in a lighthouse,
+//   and that one hands on the beats of both: so who could be dropped has no lease any more.
+// - What a pilot that is counted no longer knew of others and this one doesn't, by its figure, stays counted
+//   without a name, on the same terms.
+// Price: where more than half of the pilots are lost at once, never come back and said no goodbye, the others
+// refill by the old number until they were restarted themselves.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "convoy/convoy.h"
+#include "tide/tide.h"
+
+namespace shaletray::pilot {
+
+constexpr Duration kLease = std::chrono::seconds(10);
+constexpr Duration kDropAfter = std::chrono::seconds(20);    // twice the lease: late proofs of touch, drift
+
+class QuotaLease {
+public:
+    explicit QuotaLease(std::string me) : me_(std::move(me)) {}
+
+    // To be called a few times a second. `confirmed`: the lighthouses that a quorum bore out, by their word
+    // of the last seconds. `caught_up`: such a word has come in this life.
+    tide::Peers look(const convoy::Convoy& convoy, const std::vector<std::string>& confirmed, bool caught_up,
+                     TimePoint now);
+    // How many pilots this one counts, itself included: for Convoy::counts.
+    std::uint32_t counted() const { return static_cast<std::uint32_t>(peers_.size() + 1 + nameless_); }
+    // A later life of this pilot begins without a lease.
+    void end() { held_ = agreed_ = false; }
+
+private:
+    struct Peer {
+        std::uint64_t life = 0;
+        std::uint32_t counts = 0;      // by its own word
+        TimePoint known{}, heard{};    // since when its address is known; when it was last heard of
+        TimePoint unheard{};           // since when it may be dropped; zero: it may not
+        bool touched = false;
+    };
+    void learn(const convoy::Convoy& convoy, TimePoint now);
+    void no_longer(const Peer& peer);
+    void drop(bool quorum, TimePoint now);
+    bool counts_us(const convoy::Convoy& convoy, std::size_t touched) const;
+
+    std::string me_;
+    std::map<std::string, Peer> peers_;
+    std::size_t nameless_ = 0;
+    TimePoint nameless_unheard_{};
+    std::deque<std::pair<TimePoint, std::uint32_t>> lately_;    // what was counted, and when
+    TimePoint looked_{}, held_at_{}, returned_{};
+    bool majority_ = false;    // more than half of the pilots are in touch
+    bool agreed_ = false;      // a lighthouse that a quorum bore out knew the same members, once
+    bool held_ = false;
+};
+
+}    // namespace shaletray::pilot
--- a/tests/convoy/convoy_test.cpp
+++ b/tests/convoy/convoy_test.cpp
@@ -137,6 +137,35 @@
     }
 }
 
+// Each member's proof that it hears this process is renewed all the while, and ends with the way to it alone.
+Test(convoy, each_shows_that_it_hears_this_process) {
+    for (const int pilots : {2, 11, 18}) {
+        Network net(static_cast<std::uint64_t>(pilots));
+        net.start_all(3, pilots, 300ms);
+        net.run(8s);
+        net.loss = 0.02;
+        const auto oldest = [&](const std::string& at, const std::string& of) {
+            const Member& m = net[at].members().at(of);
+            cr_assert(net[at].meets_each() && m.answered <= net.now);
+            return net.now - m.answered;
+        };
+        for (int look = 0; look < 200; ++look) {
+            net.run(100ms);
+            for (const auto& [at, process] : net.processes)
+                for (const auto& [of, m] : net[at].members())
+                    cr_assert_leq(oldest(at, of) / 1ms, 4000, "%d pilots", pilots);
+        }
+        const std::string deaf = Network::pilot(0), me = Network::pilot(1);
+        net.cut = [&](const std::string&, const std::string& to) { return to == deaf; };
+        const TimePoint since = net.now;
+        net.run(15s);
+        cr_assert_leq((net[me].members().at(deaf).answered - since) / 1ms, 1000, "it cannot have heard it");
+        cr_assert_gt((net[me].members().at(deaf).heard - since) / 1ms, 12'000);
+        cr_assert_gt((net[deaf].members().at(me).answered - since) / 1ms, -4000);
+        cr_assert_leq((net[deaf].members().at(me).heard - since) / 1ms, 1000);
+    }
+}
+
 // In a large convoy suspicions are spread by word; not the suspicions of one that hears nobody.
 Test(convoy, who_is_alone_keeps_its_suspicions_to_itself) {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
