Explore every order of a replacement by an empty machine at another address

Change: a fourth machine that may be there from the start, an end for good of the third, and the change of voters to it.

--- a/tests/lamp/explore_test.cpp
+++ b/tests/lamp/explore_test.cpp
@@ -20,7 +20,10 @@
     bool told = true;            // else who decides tells nobody
     bool reads = true;           // else all questions to the others are lost
     bool settled = false;        // begin with a first version that all hold
+    bool joins = false;    // a fourth, empty machine runs from the start, and is to vote in the third's place
+    int ends = 0;          // the third may end for good, its disk with it
 };
+constexpr std::size_t kNodes = 4;
 struct Node {
     Lamp lamp;
     Saved disk;    // what a loss of power leaves
@@ -35,7 +38,7 @@
     bool operator<(const Mail& o) const { return std::tie(from, to, hash) < std::tie(o.from, o.to, o.hash); }
 };
 struct State {
-    std::array<std::shared_ptr<const Node>, 3> nodes;
+    std::array<std::shared_ptr<const Node>, kNodes> nodes;    // none: not there, or no more
     std::vector<Mail> mail;
     Budget left;
     Register chosen;
@@ -57,6 +60,11 @@
     explicit Explorer(const Budget& budget) {
         State s;
         s.left = {.slow = false};
+        if (budget.joins) {
+            Saved empty;
+            empty.disk = kNewcomer;
+            s.nodes[3] = std::make_shared<const Node>(life(3, empty, 3));
+        }
         for (std::size_t i = 0; i < 3; ++i) {
             Node n = life(i, {}, i, true);
             Actions out;
@@ -87,6 +95,7 @@
     bool exhausted() const { return open_.empty(); }
 
 private:
+    static constexpr std::uint64_t kEmptied = 77, kNewcomer = 88;    // disks
     static Node life(std::size_t i, const Saved& disk, std::uint64_t seed, bool founds = false) {
         Settings settings;
         settings.me = {World::name(i), disk.disk};
@@ -95,7 +104,9 @@
         if (founds) settings.founders = all;
         const TimePoint now = TimePoint{} + 1000s;
         Node n{Lamp(settings, disk, now), disk, {}, now, 0};
-        n.lamp.others(all);
+        std::vector<std::string> others = all;
+        others.push_back(World::name(3));
+        n.lamp.others(others);
         return n;
     }
     void carry_out(State& s, std::size_t i, Node& n, Actions& out) {
@@ -112,6 +123,7 @@
                 (!s.left.reads && kind == Message::Kind::Ask))
                 continue;
             const auto to = static_cast<std::size_t>(send.to[7] - '0');
+            if (to != i && !s.nodes[to]) continue;
             s.mail.push_back(
                 {i, to, hash(send.bytes), std::make_shared<const std::string>(std::move(send.bytes))});
         }
@@ -124,7 +136,8 @@
             cr_assert(held >= s.asked.at(d.ticket - 1), "answered with %lu after %lu", held,
                       s.asked.at(d.ticket - 1));
             cr_assert(s.chosen.may_answer(n.lamp.decree(), [&](const Member& m) {
-                for (std::size_t o = 0; o < 3; ++o) {
+                for (std::size_t o = 0; o < kNodes; ++o) {
+                    if (o != i && !s.nodes[o]) continue;
                     const Saved& disk = o == i ? n.disk : s.nodes[o]->disk;
                     if (m == Member{World::name(o), disk.disk})
                         return disk.decree.number >= n.lamp.decree().number;
@@ -141,11 +154,11 @@
     void push(State s) {
         std::string all;
         const auto add = [&all](std::uint64_t x) { all.append(reinterpret_cast<const char*>(&x), sizeof x); };
-        for (const auto& n : s.nodes) add(n->picture);
+        for (const auto& n : s.nodes) add(n ? n->picture : 0);
         for (const Mail& m : s.mail) add(m.hash ^ m.to << 3 ^ m.from);
         const Budget& b = s.left;
         for (const int x :
-             {b.proposals, b.confirms, b.ticks, b.kills, b.powers, b.wipes, b.twice, b.replaced})
+             {b.proposals, b.confirms, b.ticks, b.kills, b.powers, b.wipes, b.twice, b.replaced, b.ends})
             add(static_cast<std::uint64_t>(x));
         add(s.chosen.acknowledged);
         for (const std::uint64_t least : s.asked) add(least);
@@ -158,28 +171,30 @@
     // power; the old voters bear that loss alone until a change of them is kept by a majority of the new.
     static void survives(const State& s) {
         const auto member = [&](const Decree& d, std::size_t i) {
+            if (!s.nodes[i]) return false;
             const Member me{World::name(i), s.nodes[i]->disk.disk};
             return std::find(d.voters.begin(), d.voters.end(), me) != d.voters.end();
         };
         const Decree& newest = s.chosen.decrees.rbegin()->second;
         std::size_t members = 0, keep = 0;
-        for (std::size_t i = 0; i < 3; ++i) {
+        for (std::size_t i = 0; i < kNodes; ++i) {
             members += member(newest, i);
             keep += member(newest, i) && s.nodes[i]->disk.decree.number == newest.number;
         }
         const bool whole = members == 3 && (newest.voters.back().disk == 0 || keep >= 2);
-        for (std::size_t lost = whole ? 0 : 3; lost <= 3; ++lost) {
+        for (std::size_t lost = whole ? 0 : kNodes; lost <= kNodes; ++lost) {
             Decree best;
-            for (std::size_t i = 0; i < 3; ++i) {
+            for (std::size_t i = 0; i < kNodes; ++i) {
+                if (!s.nodes[i]) continue;
                 const Decree& d = s.nodes[i]->disk.decree;
                 if (i != lost && !d.voters.empty() && (best.voters.empty() || d.number > best.number))
                     best = d;
             }
             std::size_t votes = 0;
             const Saved* pending = nullptr;
-            for (std::size_t i = 0; i < 3; ++i) {
-                const Saved& d = s.nodes[i]->disk;
+            for (std::size_t i = 0; i < kNodes; ++i) {
                 if (i == lost || !member(best, i)) continue;
+                const Saved& d = s.nodes[i]->disk;
                 ++votes;
                 if (d.decree.number == best.number && d.pending &&
                     (!pending || pending->accepted < d.accepted))
@@ -217,7 +232,8 @@
                     n.lamp.heard(World::name(m.from), *m.bytes, n.now, out);
                 });
         }
-        for (std::size_t i = 0; i < 3; ++i) {
+        for (std::size_t i = 0; i < kNodes; ++i) {
+            if (!s.nodes[i]) continue;
             const Node& node = *s.nodes[i];
             if (!node.unsynced.empty() && s.left.slow)
                 step(s, i, [](State&, Node& n, Actions& out) {
@@ -243,7 +259,7 @@
                 start_anew(s, i, node.unsynced.back().saved, &Budget::kills);
             if (s.left.wipes > 0 && i == 2) {
                 Saved empty;
-                empty.disk = 77;
+                empty.disk = kEmptied;
                 start_anew(s, i, empty, &Budget::wipes);
             }
         }
@@ -257,10 +273,20 @@
                                n.now, out);
             });
         }
-        if (s.left.replaced > 0 && s.nodes[2]->disk.disk == 77)
-            step(s, 1, [](State& next, Node& n, Actions& out) {
+        if (s.left.ends > 0 && s.nodes[2]) {
+            State next = s;
+            --next.left.ends;
+            next.nodes[2].reset();
+            std::erase_if(next.mail, [](const Mail& m) { return m.to == 2; });
+            push(std::move(next));
+        }
+        const bool emptied = s.nodes[2] && s.nodes[2]->disk.disk == kEmptied;
+        if (s.left.replaced > 0 && (emptied || s.left.joins))
+            step(s, 1, [&](State& next, Node& n, Actions& out) {
                 --next.left.replaced;
-                const auto to = replaced(n.lamp.decree().voters, {World::name(2), 0}, {World::name(2), 77});
+                const Member in =
+                    emptied ? Member{World::name(2), kEmptied} : Member{World::name(3), kNewcomer};
+                const auto to = replaced(n.lamp.decree().voters, {World::name(2), 0}, in);
                 n.lamp.change_voters(n.lamp.decree().voters, to, n.now, out);
             });
     }
@@ -308,6 +334,25 @@
     explore("voted in, a proposal",
             {.proposals = 1, .wipes = 1, .replaced = 1, .slow = false, .told = false, .settled = true});
 }
+Test(explore, one_replaced_by_an_empty_machine) {
+    explore("replaced",
+            {.proposals = 0, .replaced = 1, .slow = false, .settled = true, .joins = true, .ends = 1});
+    explore("replaced, power lost", {.proposals = 0,
+                                     .powers = 1,
+                                     .replaced = 1,
+                                     .slow = false,
+                                     .told = false,
+                                     .settled = true,
+                                     .joins = true,
+                                     .ends = 1});
+    explore("replaced, a proposal", {.proposals = 1,
+                                     .replaced = 1,
+                                     .slow = false,
+                                     .told = false,
+                                     .settled = true,
+                                     .joins = true,
+                                     .ends = 1});
+}
 
 }    // namespace
 }    // namespace shaletray::lamp::test
