--- a/tests/pilot/quota_test.cpp
+++ b/tests/pilot/quota_test.cpp
@@ -86,6 +86,23 @@
     }
 }
 
+// All who hold a part are cut off from the lighthouses and hear each other; newcomers that join there are
+// told of them, and wait.
+Test(quota, newcomers_wait_where_all_others_are_cut_off) {
+    World w(3, 4, 1);
+    settle(w);
+    w.cut = between(pilots_of(0, 4), true, true);
+    w.run(30s);
+    for (int i = 0; i < 4; ++i) w.start_new();
+    w.run(60s);
+    cr_assert_leq(w.excess(), 0.0, "%f over", w.excess());
+    cr_assert_gt(w.granted_per_s("large", 5s), 0.95 * 200.0, "by those that are cut off");
+    w.cut = [](const auto&, const auto&) { return false; };
+    w.run(40s);
+    cr_assert_leq(w.excess(), 0.0, "%f over", w.excess());
+    cr_assert_gt(w.granted_per_s("large", 5s), 0.95 * 200.0, "by all");
+}
+
 // What happens while some are cut off: newcomers, goodbyes, ends, new lives, freezes, cuts of other shapes.
 Test(quota, holds_through_random_troubles) {
     const char* const more = std::getenv("QUOTA_SEEDS");
