Watch another lighthouse in the place of one that no majority bears out

Cause, found by reading for pairs of cuts: a pilot stays with the three lighthouses that answer, also when all three are on the smaller side of a cut core. They say confirmed=false, so no new life takes them for current, but an old life that could reach the majority stayed on the older version for as long as the cut lasted. It takes five lighthouses or more (three are all watched), so no small site shows it.

Now a word that no majority bore out for silent_after counts as silence when lighthouses are chosen. Where all lack a majority the choice goes round, and the version that was had stays.

--- a/src/pilot/lookout.cpp
+++ b/src/pilot/lookout.cpp
@@ -34,16 +34,22 @@
     return those;
 }
 
-// Those that answer stay; in the place of one that does not, the next one is tried.
+// Those that answer stay; in the place of one that does not, the next one is tried. So it is where a majority
+// bore nothing out that one says: those that are watched may be cut off together, and what they say old.
 void Lookout::choose(TimePoint now) {
     const auto silent = [&](const Watched& w) {
         return w.asked != TimePoint{} && now - std::max(w.heard, w.asked) > settings_.silent_after;
     };
+    const auto unconfirmed = [&](const Watched& w) {
+        return w.asked != TimePoint{} && now - std::max(w.confirmed_at, w.since) > settings_.silent_after;
+    };
     if (known_.size() > settings_.watched)
-        std::erase_if(watched_, [&](const auto& item) { return silent(item.second); });
+        std::erase_if(watched_,
+                      [&](const auto& item) { return silent(item.second) || unconfirmed(item.second); });
     for (std::size_t tried = 0; watched_.size() < settings_.watched && tried < known_.size(); ++tried) {
         const std::string& next = known_[turn_++ % known_.size()];
-        watched_.try_emplace(next);
+        const auto [it, is_new] = watched_.try_emplace(next);
+        if (is_new) it->second.since = now;
     }
 }
 
@@ -83,6 +89,7 @@
     ++counts_.news;
     watched.heard = now;
     watched.confirmed = news.confirmed;
+    if (news.confirmed) watched.confirmed_at = now;
     if (watched.life != news.life) {
         watched.life = news.life;
         watched.sequence = 0;
--- a/src/pilot/lookout.h
+++ b/src/pilot/lookout.h
@@ -56,6 +56,7 @@
         std::uint64_t life = 0, sequence = 0;    // of its muster, as far as it is known here
         TimePoint asked{};                       // first, since it was last heard
         TimePoint heard{}, repaired{};
+        TimePoint since{}, confirmed_at{};    // watched; last word that a majority bore out
         bool confirmed = false;
     };
     void say(const std::string& to, Watched& watched, TimePoint now, Actions& out);
--- a/tests/pilot/lookout_test.cpp
+++ b/tests/pilot/lookout_test.cpp
@@ -138,6 +138,49 @@
     cr_assert(ever.size() == 5);
 }
 
+// Four of nine lighthouses are cut off from the others and answer on; whichever this pilot watches, it comes
+// to what the majority says, and not back when it watches a cut-off one again.
+Test(lookout, a_lighthouse_without_its_majority_is_not_taken_for_current) {
+    for (int me = 0; me < 40; ++me) {
+        Lookout::Settings s;
+        s.me = "10.0.0." + std::to_string(me) + ":7101";
+        s.life = 3;
+        Lookout l(s);
+        std::map<std::string, Lighthouse> houses;
+        std::vector<std::string> names;
+        for (char c = 'a'; c <= 'i'; ++c) {
+            names.emplace_back(1, c);
+            houses[names.back()] = Lighthouse{.version = 4};
+        }
+        l.lighthouses(names, {});
+        const auto run = [&](TimePoint from, Duration length) {
+            for (TimePoint now = from; now < from + length; now += 100ms) {
+                Lookout::Actions step;
+                l.tick(now, 1, step);
+                for (const auto& send : step.sends) {
+                    Lookout::Actions answer;
+                    const auto have = watch::decode_have(send.bytes);
+                    l.heard(send.to, 7, houses[send.to].news(*have, 0), now, answer);
+                }
+            }
+        };
+        run(kStart, 3s);
+        cr_assert(l.caught_up() && l.confirmed(kStart + 3s, 1s).size() == 3);
+        for (const std::string& name : names) {
+            if (name <= "d") houses[name].confirmed = false;
+            else houses[name].version = 5;
+        }
+        run(kStart + 3s, 5s);
+        cr_assert(l.table()->chart().version == 5, "pilot %d stays with those that are cut off", me);
+        run(kStart + 8s, 5s);
+        cr_assert(!l.confirmed(kStart + 13s, 3s).empty() && l.table()->chart().version == 5);
+        for (const std::string& name : l.confirmed(kStart + 13s, 3s)) cr_assert(name > "d");
+        for (const std::string& name : names) houses[name].confirmed = false;
+        run(kStart + 13s, 4s);
+        cr_assert(l.confirmed(kStart + 17s, 3s).empty() && l.table()->chart().version == 5);
+    }
+}
+
 // Any order, loss and repetition of words leads to the newest chart, one by one upwards.
 Test(lookout, comes_to_the_newest_chart_whatever_is_lost) {
     for (unsigned seed = 1; seed <= 200; ++seed) {
