--- a/tests/pilot/quota_test.cpp
+++ b/tests/pilot/quota_test.cpp
@@ -57,6 +57,24 @@
     }
 }
 
+// So many that touch is estimated.
+Test(quota, holds_where_not_each_is_met) {
+    for (const int alone : {1, 9, 14}) {
+        for (int how = 0; how < (kLess > 1 ? 1 : 3); ++how) {
+            World w(3, 26, static_cast<std::uint64_t>(alone * 10 + how));
+            settle(w);
+            cr_assert_not(w.net[Network::pilot(0)].meets_each());
+            w.cut = between(pilots_of(0, alone), how != 1, how != 2);
+            w.run(40s);
+            w.cut = [](const auto&, const auto&) { return false; };
+            w.run(14s);
+            cr_assert_leq(w.excess(), 0.0, "%d cut off, how %d: %f over", alone, how, w.excess());
+            cr_assert_gt(w.granted_per_s("large", 4s), 0.95 * 200.0, "%d cut off, how %d: whole again", alone,
+                         how);
+        }
+    }
+}
+
 // Those that are cut off hear each other and so hold their parts, and on the side of the lighthouses' quorum
 // newcomers come before or after the last one has left that knew them.
 Test(quota, newcomers_leave_room_for_those_that_they_never_met) {
