Pass on no server's promise that X-Not-Executed doesn't make true

Cause, found by reading: a 503, 429 or 408 of a server without X-Not-Executed went to the client unchanged (429 and 408 even as a good answer), and to a client these promise that nothing ran. An answer without X-Attempt-Id that failed was taken for the answer to what was asked, so that a stray one's words could reach another request's client; of two ids the first one counted.

Change: such a status counts as the server's failure, and its client gets 502. Whatever has no id, or two, is nobody's.

Ruled out: X-Not-Executed and 421 decide as before; a 500 with its id is passed on unchanged.

--- a/src/channel/passage.cpp
+++ b/src/channel/passage.cpp
@@ -17,6 +17,7 @@
                            kAuthorization = "Authorization", kHost = "Host", kConnection = "Connection",
                            kLength = "Content-Length";
 constexpr std::size_t kLongestId = 256;
+constexpr int kBroken = 502;
 
 // Those that concern one connection only, and those that the other side of it writes itself.
 constexpr std::string_view kOfOneConnection[] = {
@@ -56,6 +57,9 @@
     }
 }
 
+// To a client, these say that its request has not run and never will.
+bool promises(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
+
 std::string_view key_of(std::string_view authorization) {
     constexpr std::string_view kScheme = "Bearer ";
     if (!http::same_name(authorization.substr(0, kScheme.size()), kScheme)) return {};
@@ -152,7 +156,7 @@
     return {why == Refusal::Quota ? 429 : 503, fmt::format("Retry-After: {:.3f}\r\n", seconds)};
 }
 
-Final Passage::failed(Failure why) const { return {why == Failure::Late ? 504 : 502, ""}; }
+Final Passage::failed(Failure why) const { return {why == Failure::Late ? 504 : kBroken, ""}; }
 
 // ---- servers ----
 
@@ -179,7 +183,8 @@
     const int status = parser.status();
     if (status >= 200 && status < 300) return Outcome::Ok;
     if (status == 421 || parser.count(buffer, kNotExecuted) > 0) return Outcome::Full;
-    return status >= 500 ? Outcome::Error : Outcome::Ok;    // its own 4xx is an answer like any other
+    // Its own 4xx is an answer like any other.
+    return status >= 500 || promises(status) ? Outcome::Error : Outcome::Ok;
 }
 
 Fits Tongue::fits(const Asked& asked, const http::Parser& parser, const http::Buffer& buffer) const {
@@ -188,11 +193,10 @@
         const std::optional<Target> target = target_(asked.host);
         return instance.empty() || (target && instance == target->id) ? Fits::Yes : Fits::No;
     }
+    // Without the id, or with two, it could be another request's: a failure too carries its server's words.
     const std::string_view id = parser.header(buffer, kId);
-    if (!id.empty() && id != asked.id) return Fits::Surplus;
-    const Outcome outcome = outcome_of(asked, parser, buffer);
-    // Without the id, an answer that promises anything could be another request's.
-    if (id.empty()) return outcome == Outcome::Error ? Fits::Yes : Fits::No;
+    if (id.empty() || parser.count(buffer, kId) > 1) return Fits::No;
+    if (id != asked.id) return Fits::Surplus;
     if (parser.status() < 200 || parser.status() >= 300) return Fits::Yes;
     const bool sealed = parser.count(buffer, kSeal) == 1 && !parser.header(buffer, kSeal).empty();
     return sealed && parser.count(buffer, "Content-Encoding") == 0 ? Fits::Yes : Fits::No;
@@ -200,6 +204,11 @@
 
 Payload Tongue::answer_of(const http::Parser& parser, const http::Buffer& buffer, bool with_body) const {
     Payload answer;
+    // What promises that nothing ran, without the server's word for it, must not reach a client as it is.
+    if (promises(parser.status())) {
+        answer.status = kBroken;
+        return answer;
+    }
     answer.status = parser.status();
     pass_headers(parser, buffer, answer.head, [](std::string_view) { return false; });
     if (with_body) answer.body = parser.body(buffer);
--- a/tests/channel/passage_test.cpp
+++ b/tests/channel/passage_test.cpp
@@ -166,7 +166,10 @@
               Fits::No);
     cr_assert(fits("503", "X-Not-Executed: 1\r\n") == Fits::No, "a promise without an id may be another's");
     cr_assert(fits("503", "X-Attempt-Id: 9c41\r\nX-Not-Executed: 1\r\n") == Fits::Yes);
-    cr_assert(fits("500", "") == Fits::Yes);
+    cr_assert(fits("500", "") == Fits::No, "a failure without an id may be another's too");
+    cr_assert(fits("500", "X-Attempt-Id: 9c41\r\n") == Fits::Yes);
+    cr_assert(fits("200", "X-Attempt-Id: 9c41\r\nX-Attempt-Id: 8888\r\nX-Server-Seal: s\r\n") == Fits::No);
+    cr_assert(fits("500", "X-Attempt-Id: 9c41\r\nX-Attempt-Id: 9c41\r\n") == Fits::No);
 }
 
 Test(tongue, only_the_servers_word_says_that_it_did_not_run) {
@@ -181,6 +184,8 @@
     cr_assert(outcome("503", "") == Outcome::Error);
     cr_assert(outcome("500", "") == Outcome::Error);
     cr_assert(outcome("504", "") == Outcome::Error);
+    cr_assert(outcome("429", "") == Outcome::Error);
+    cr_assert(outcome("408", "") == Outcome::Error);
     cr_assert(outcome("404", "") == Outcome::Ok, "an answer of its own");
     cr_assert(outcome("204", "") == Outcome::Ok);
 }
@@ -193,3 +198,14 @@
     cr_assert(p.status == 206 && p.head == "X-Server-Seal: s\r\n" && p.body == "ab");
     cr_assert(tongue().idle_limit(a.parser, a.buffer) == Duration(10s));
 }
+
+// 503, 429 and 408 promise a client that nothing ran; without X-Not-Executed no server said so.
+Test(tongue, a_promise_that_no_server_gave_is_not_passed_on) {
+    for (const char* const status : {"503", "429", "408"}) {
+        const Answer a("HTTP/1.1 " + std::string(status) +
+                       " X\r\nX-Attempt-Id: 9c41\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nab");
+        cr_assert(tongue().fits(kAsked, a.parser, a.buffer) == Fits::Yes);
+        const Payload p = tongue().answer_of(a.parser, a.buffer, true);
+        cr_assert(p.status == 502 && p.head.empty() && p.body.empty(), "%s", status);
+    }
+}
