Write nothing on a connection that came up after its time

Cause, found by reading: a process that stands still between the turn of its timers and its sockets finds a dial that came up, and wrote the request on it before the timer that gives the dial up had run: by a list of servers, and with a time left, as old as the standstill. Change: past the dial's limit nothing is written (the attempt never ran).

--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -16,7 +16,7 @@
 public:
     virtual ~ServerConnectionOwner() = default;
     // Just dialled and about to carry the first byte: false where it must not go there any more.
-    virtual bool may_begin(const ServerConnection& connection) = 0;
+    virtual bool may_begin(ServerConnection& connection) = 0;
     virtual void request_written(ServerConnection& connection) = 0;    // whole
     virtual void upload_began(ServerConnection& connection) = 0;       // its first part is written
     virtual void answer_began(ServerConnection& connection) = 0;
--- a/src/net/server_pool.cpp
+++ b/src/net/server_pool.cpp
@@ -165,8 +165,13 @@
     connection->begin(dialect_.write_probe(host, connection->address()), true);
 }
 
-bool ServerPool::may_begin(const ServerConnection& connection) {
-    return hosts_.may_begin(connection.host(), reactor_.clock().now());
+// Nor where its time to come up is over, which this process may see late: it stood still, and what it
+// believed of the server is as old.
+bool ServerPool::may_begin(ServerConnection& connection) {
+    const TimePoint now = reactor_.clock().now();
+    const auto it = connections_.find(&connection);
+    return it != connections_.end() && now - it->second.since <= limits_.dial &&
+           hosts_.may_begin(connection.host(), now);
 }
 
 void ServerPool::request_written(ServerConnection& connection) {
--- a/src/net/server_pool.h
+++ b/src/net/server_pool.h
@@ -75,7 +75,7 @@
         return static_cast<std::uint64_t>(attempt.request) << 32 | static_cast<std::uint32_t>(attempt.number);
     }
 
-    bool may_begin(const ServerConnection& connection) override;
+    bool may_begin(ServerConnection& connection) override;
     void request_written(ServerConnection& connection) override;
     void upload_began(ServerConnection& connection) override;
     void answer_began(ServerConnection& connection) override;
