Ask for one text at a time, so that a slow link carries the newest

Cause: a lighthouse asked for the newest decree at each word of a newer one, though an answer was on its way, and again after a fixed 250 ms. Each answer is a whole text. In virtual time, a learner on a 2 Mbit/s link with changes of 100 KB every 100 ms was 7650 ms behind after 12 s with 14215 ms queued (60 KB every 150 ms: 4250 and 5592). Ruled out: changes that the link carries (40 KB every 250 ms) were never late, after 1, 300, 3,000 missed changes or empty.

Change: one question is under way at a time; the answer says which it is for (nonce, as in Wanted) and has the next asked if it was overtaken. Repeats wait for twice the last answer's time and go to who told of a newer one last. An older program's answer has nonce 0: it is taken, and the next question waits for its time.

--- a/src/lamp/lamp.cpp
+++ b/src/lamp/lamp.cpp
@@ -51,6 +51,7 @@
         for (const char c : settings_.me.address) random_ = mix(random_ ^ static_cast<unsigned char>(c));
         life_ = settings_.me.address + "#" + hex(draw());
         nonce_ = draw();
+        patience_ = settings_.round_time;
         if (saved_.decree.voters.empty() && !settings_.founders.empty()) {
             std::set<std::string> founders(settings_.founders.begin(), settings_.founders.end());
             for (const std::string& address : founders) saved_.decree.voters.push_back({address, 0});
@@ -200,10 +201,11 @@
         std::string to;
         Message message;
     };
-    struct Wanted {
+    struct Wanted {    // one answer at a time, as a link may be slow and texts long
         std::uint64_t at = 0;
-        std::string from;
-        TimePoint due;
+        std::string from;          // who told of it last
+        std::uint64_t held = 0;    // the version, when asked
+        TimePoint asked, due;
         int tries = 0;
     };
     struct Telling {    // of a decree that was decided here, to the sets of voters
@@ -312,6 +314,7 @@
             case Kind::Wanted:
                 if (m.at < at()) {
                     Message learn = message(Kind::Learn);
+                    learn.nonce = m.nonce;
                     learn.ballot = chosen_;
                     learn.value = saved_.decree;
                     learn.text_as_before = m.at > 0 && m.nonce == saved_.decree.version;
@@ -390,6 +393,10 @@
     }
     void hear_learn(const std::string& from, const Message& m) {
         if (!m.value || m.value->number + 1 != m.at) return;
+        const bool awaited = wanted_ && m.nonce == wanted_->held;    // else the answer to an earlier one
+        if (awaited)
+            patience_ =
+                std::min(std::max((now_ - wanted_->asked) * 2, settings_.round_time), settings_.longest_wait);
         if (m.at > at()) {
             Decree decree = *m.value;
             if (m.text_as_before) {
@@ -398,16 +405,23 @@
             }
             adopt(std::move(decree), m.ballot);
         }
+        if (awaited && wanted_->at > at()) begin_wanted(wanted_->from, wanted_->at);    // it was overtaken
+        else if (awaited) wanted_.reset();
         if (m.at == at()) reply(from, message(Kind::Kept));
     }
     void want(const std::string& from, std::uint64_t target) {
-        if (wanted_ && wanted_->at >= target && now_ < wanted_->due) return;
-        wanted_ = {target, from, now_ + settings_.round_time, 0};
+        if (!wanted_) return begin_wanted(from, target);
+        if (target < wanted_->at && wanted_->tries == 0) return;    // else who told of that may be gone
+        wanted_->at = target;
+        wanted_->from = from;
+    }
+    void begin_wanted(std::string from, std::uint64_t target) {
+        wanted_ = {target, std::move(from), saved_.decree.version, now_, now_ + patience_, 0};
         ask_wanted();
     }
     void ask_wanted() {
         Message m = message(Kind::Wanted);
-        m.nonce = saved_.decree.version;
+        m.nonce = wanted_->held = saved_.decree.version;
         send(wanted_->from, m);
     }
     // All that is about the decree that follows begins anew with each decree.
@@ -424,7 +438,6 @@
         losses_ = 0;
         seen_ = 0;
         retry_at_ = now_;
-        if (wanted_ && wanted_->at <= at()) wanted_.reset();
         if (wish_ && wish_->from != saved_.decree.voters) wish_.reset();    // another's change came first
         if (telling_ && telling_->at < at()) telling_.reset();
     }
@@ -652,9 +665,13 @@
     }
     void advance_learning() {
         if (wanted_ && now_ >= wanted_->due) {
-            if (++wanted_->tries > 3) wanted_.reset();
-            else {
-                wanted_->due = now_ + settings_.round_time * (1 << wanted_->tries);
+            if (wanted_->at <= at()) wanted_.reset();    // came another way
+            else if (++wanted_->tries > 3) {
+                wanted_.reset();
+                patience_ = settings_.round_time;
+            } else {
+                patience_ = std::min(patience_ * 2, settings_.longest_wait);
+                wanted_->due = now_ + patience_;
                 ask_wanted();
             }
         }
@@ -729,6 +746,7 @@
     TimePoint retry_at_{}, seek_at_{};
     std::optional<Read> read_;
     std::optional<Wanted> wanted_;
+    Duration patience_{};    // with an answer to that, by how long the last one took
     std::optional<Telling> telling_;
     Ballot chosen_;    // under which the decree was, where known
     std::optional<TimePoint> confirmed_;
--- a/src/lamp/lamp_message.h
+++ b/src/lamp/lamp_message.h
@@ -24,8 +24,8 @@
         State,       // nonce; pending: something is accepted for the sender's next decree
         Notice,      // the sender's decree is chosen; ballot: under which, where known
         Wanted,      // of whoever holds a newer decree; nonce: the version held
-        Learn,       // value: the sender's decree; ballot as in Notice
-        Kept,        // the sender's decree is on its disk
+        Learn,    // value: the sender's decree; ballot as in Notice; nonce as in the Wanted that it answers
+        Kept,     // the sender's decree is on its disk
     };
     Kind kind = Kind::None;
     std::uint64_t disk = 0;        // the sender's
