Begin a newcomer's lease with the first confirmed word, not when each was met

Now a newcomer waits only for pilots that hold a lease by what is told of them, or that are unheard for long; one that is there without a lease has yet to begin, and will count this one then. It is enough that the lighthouse knows no more members, a page counts as an answer, and the chart is not waited for (a newcomer's word has to be confirmed all the same; later a majority of pilots does).

--- a/src/convoy/convoy.cpp
+++ b/src/convoy/convoy.cpp
@@ -524,7 +524,9 @@
             }
         }
         const bool same_life = r != nullptr && p.life == r->member->facts.life;
-        if (fresh && same_life && p.digest == digest()) r->member->agreed = now;
+        if (fresh && same_life && (p.digest == digest() || p.members <= roll_.here()))
+            r->member->agreed = now;
+        if (fresh && same_life && p.kind == Kind::Page) r->member->answered = now;    // it was asked
         if (fresh) take_beats(same_life ? r : nullptr, p, now, out);
         switch (p.kind) {
             case Kind::Ping: {
--- a/src/convoy/convoy.h
+++ b/src/convoy/convoy.h
@@ -43,7 +43,8 @@
     // The newest moment of this process of which the member proved that it had heard of it, by an answer or
     // by this process's beat in what it sends; zero: none yet.
     TimePoint answered{};
-    TimePoint agreed{};     // when it last said that it knows the same lives and versions as this process
+    TimePoint
+        agreed{};    // when it last knew the same lives and versions as this process, or no more members
     TimePoint changed{};    // its state
 };
 
--- a/src/pilot/pilot.cpp
+++ b/src/pilot/pilot.cpp
@@ -215,6 +215,8 @@
     if (ready() != was_ready_) {
         was_ready_ = ready();
         event(LogLevel::Info, was_ready_ ? "pilot_ready" : "pilot_not_ready");
+        next_peers_ = TimePoint{};    // its quotas begin with it
+        tick_soon();
     }
 }
 
@@ -270,8 +272,7 @@
 void Pilot::look_after_peers() {
     const TimePoint now = clock_.now();
     next_peers_ = now + kPeersEvery;
-    tide::Peers peers =
-        lease_.look(*convoy_, lookout_->confirmed(now, kConfirmedWithin), lookout_->caught_up(), now);
+    tide::Peers peers = lease_.look(*convoy_, lookout_->confirmed(now, kConfirmedWithin), now);
     convoy_->counts(lease_.counts());
     desk_->pilots(std::max(lease_.electorate(), static_cast<std::uint32_t>(peers.ring.size())));
     const bool leased = peers.divisor > 0 && peers.refill_until > now;
--- a/src/pilot/quota_lease.cpp
+++ b/src/pilot/quota_lease.cpp
@@ -24,7 +24,7 @@
 }    // namespace
 
 tide::Peers QuotaLease::look(const convoy::Convoy& convoy, const std::vector<std::string>& confirmed,
-                             bool caught_up, TimePoint now) {
+                             TimePoint now) {
     if (now - looked_ > kGap) {
         for (auto& [address, peer] : peers_) peer.unheard = TimePoint{};
         nameless_unheard_ = TimePoint{};
@@ -55,7 +55,7 @@
         touched += peer.touched ? 1 : 0;
     }
 
-    const bool touch = convoy.joined() && caught_up && (quorum || majority_);
+    const bool touch = convoy.joined() && (quorum || (began_ && majority_));
     if (now >= held_at_ + kLease) held_ = false;
     if (!touch) {
         returned_ = TimePoint{};
@@ -98,6 +98,7 @@
         }
         if (m.facts.counts == 0 && peer.counts > 0) no_longer(peer);    // its lease has ended
         peer.counts = m.facts.counts;
+        peer.gone = m.state == convoy::State::Gone;
         peer.hearsay = peer.hearsay && m.heard == TimePoint{};
         peer.heard = std::max(peer.heard, m.heard);
         if (!convoy.meets_each() && m.state == convoy::State::Alive) peer.heard = now;
@@ -168,7 +169,8 @@
     }
 }
 
-// A newcomer: whether all that may run count it, or those do that hold a lease and so count the others.
+// A newcomer: whether nobody holds a lease that may not count it, or those do that hold one and so count the
+// others. By the lighthouses' word who is there and holds none begins after it has heard of this one.
 bool QuotaLease::may_begin(TimePoint now) {
     const auto holds = [](const auto& item) { return item.second.touched && item.second.counts > 0; };
     if (std::any_of(peers_.begin(), peers_.end(), holds)) {
@@ -176,7 +178,9 @@
         return true;
     }
     return std::all_of(peers_.begin(), peers_.end(), [&](const auto& item) {
-        return item.second.touched || (item.second.hearsay && now - item.second.known >= kUnknown);
+        const Peer& peer = item.second;
+        return peer.touched || (!peer.gone && peer.counts == 0) ||
+               (peer.hearsay && now - peer.known >= kUnknown);
     });
 }
 
--- a/src/pilot/quota_lease.h
+++ b/src/pilot/quota_lease.h
@@ -14,7 +14,7 @@
 //   and that one hands on the beats of both: so who could be dropped has no lease any more.
 // - Until then newcomers share the part of those that they are in touch with: n that were known, a of them
 //   in touch and k newcomers divide by n (a + k) / a, and leave the unheard their n - a parts.
-// - A newcomer begins when a lighthouse that a quorum bore out knows the same members, and by the figures of
+// - A newcomer begins when a lighthouse that a quorum bore out knows no others, and by the figures of
 //   those that hold a lease. Where nobody in touch does, those may run that its lighthouses tell of and
 //   nobody hears: it waits until it hears them, or they were unheard for kUnknown.
 // - What a pilot that is counted no longer knew of others and this one doesn't, by its figure, stays counted
@@ -45,9 +45,8 @@
     explicit QuotaLease(std::string me) : me_(std::move(me)) {}
 
     // To be called a few times a second. `confirmed`: the lighthouses that a quorum bore out, by their word
-    // of the last seconds. `caught_up`: such a word has come in this life.
-    tide::Peers look(const convoy::Convoy& convoy, const std::vector<std::string>& confirmed, bool caught_up,
-                     TimePoint now);
+    // of the last seconds.
+    tide::Peers look(const convoy::Convoy& convoy, const std::vector<std::string>& confirmed, TimePoint now);
     // For Convoy::counts: how many pilots this one divides by of its own knowledge; 0: it has no lease.
     std::uint32_t counts() const { return held_ ? divisor_ : 0; }
     // How many pilots may run, this one included.
@@ -63,6 +62,7 @@
         TimePoint unheard{};           // since when it may be dropped; zero: it may not
         bool touched = false;
         bool hearsay = true;    // this life never heard of it itself
+        bool gone = false;      // for the failure detector
     };
     void learn(const convoy::Convoy& convoy, TimePoint now);
     void no_longer(const Peer& peer);
@@ -77,7 +77,7 @@
     std::deque<std::pair<TimePoint, std::uint32_t>> lately_;    // divisor_, and when
     TimePoint looked_{}, held_at_{}, returned_{};
     bool majority_ = false;    // more than half of the pilots are in touch
-    bool agreed_ = false;      // a lighthouse that a quorum bore out knew the same members, once
+    bool agreed_ = false;      // a lighthouse that a quorum bore out knew no others, once
     bool began_ = false;       // it had a lease
     bool held_ = false;
     std::uint32_t divisor_ = 1;    // by this pilot's own knowledge
--- a/tests/pilot/quota_test.cpp
+++ b/tests/pilot/quota_test.cpp
@@ -208,6 +208,20 @@
     cr_assert_lt(w.granted_per_s("large", 5s), 5.0 / 6.0 * 1.05 * 200.0);
 }
 
+// All at once, as after a loss of power: each begins as soon as it and a lighthouse know each other.
+Test(quota, begins_soon_after_all_were_lost) {
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        World w(3, 14, seed);
+        w.run(1500ms);
+        cr_assert_gt(w.granted_per_s("large", 500ms), 0.9 * 200.0, "seed %lu: %f", seed,
+                     w.granted_per_s("large", 500ms));
+        w.run(1s);
+        cr_assert_gt(w.granted_per_s("large", 500ms), 0.95 * 200.0, "seed %lu: %f", seed,
+                     w.granted_per_s("large", 500ms));
+        cr_assert_leq(w.excess(), 0.0);
+    }
+}
+
 // A goodbye takes nothing from the others, a new life or machine nothing for long.
 Test(quota, planned_work_costs_little) {
     World w(3, 6, 1);
