Test that the disk keeps the digests of earlier bodies

Shown on a scratch copy: without the two lines of Store::write that keep them, store/keeps_its_votes_through_losses_of_power fails.

--- a/tests/lamp/store_test.cpp
+++ b/tests/lamp/store_test.cpp
@@ -251,6 +251,7 @@
             saved.pending = saved.decree;
             ++saved.pending->number;
             if (random() % 4) {
+                saved.pending->earlier = {{saved.pending->version, saved.pending->number, random()}};
                 ++saved.pending->version;
                 saved.pending->text.assign(random() % 40'000, static_cast<char>('a' + random() % 26));
             }
