Apply mutations outside of the repository, where git passes over no path

Cause: six patches with git's own headers "survived" although their tests find them. The copy lies within the repository's folder, and there git apply takes such paths as the root's and passes over all of them without a word; the earlier three had plain headers, which it takes as the folder's. The player now ends git's search for a repository at the copy, and says so where a file that a patch names is left as it was.

--- a/lab/mutations/play.sh
+++ b/lab/mutations/play.sh
@@ -70,6 +70,15 @@
     clean["$program $filter"]=$(outcome_of "$program" "$filter")
 done < <(for patch in "${patches[@]}"; do tests_of "$patch"; done | sort -u)
 
+# Not as a part of this repository, in which git would pass over all paths but the copy's own. Fails where a
+# file that the patch names is as it was.
+apply() {
+    local file
+    (cd "$tree" && GIT_CEILING_DIRECTORIES=$folder git apply "$1") || return 1
+    while read -r file; do
+        ! cmp -s "$root/$file" "$tree/$file" || { echo "$file: the patch changes nothing"; return 1; }
+    done < <(sed -n 's|^+++ b/||p' "$1")
+}
 # judge PATCH: empty where every named test finds the mutation; else what went wrong.
 judge() {
     local name program filter outcome programs
@@ -80,8 +89,7 @@
         outcome=${clean["$program $filter"]}
         [ "$outcome" = passed ] || { echo "$filter without the mutation: $outcome"; return; }
     done < <(tests_of "$1")
-    git -C "$tree" apply --check "$1" > "$log/$name.apply" 2>&1 || { echo "does not apply: $log/$name.apply"; return; }
-    git -C "$tree" apply "$1"
+    apply "$1" > "$log/$name.apply" 2>&1 || { echo "does not apply: $log/$name.apply"; return; }
     # shellcheck disable=SC2086
     build_programs $programs || { cp "$log/build" "$log/$name.build"; echo "does not build: $log/$name.build"; return; }
     while read -r program filter; do
