--- a/tests/lighthouse/core_test.cpp
+++ b/tests/lighthouse/core_test.cpp
@@ -147,6 +147,41 @@
            std::chrono::duration<double>(longest).count());
 }
 
+Test(core, one_and_two_machines_serve_and_come_back_and_a_third_is_taken_in) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+        for (const std::size_t size : {1u, 2u}) {
+            Core w(seed, size, size, 0);
+            w.run(2s);
+            for (const bool power : {false, true}) {
+                w.must_serve("as few as they are");
+                for (std::size_t i = 0; i < size; ++i) w.lose(i, Duration(w.below(1'000'000)), power, false);
+                w.run(Core::kContact);
+                w.must_serve("after all had ended");
+            }
+            while (w.machines.size() < 3) w.join();
+            w.run(kWait);
+            w.losses = 1;
+            w.must_bear("three");
+        }
+}
+
+Test(core, without_disks_a_restart_is_another_voter) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Core w(seed, 3, 3, 1);
+        w.diskless = true;
+        w.run(2s);
+        w.must_serve("at the start");
+        for (int step = 0; step < 6; ++step) {
+            const Kind kinds[] = {Kind::Power, Kind::Killed, Kind::Replaced, Kind::Planned, Kind::Terminated};
+            std::size_t i = w.below(w.machines.size());
+            while (!w.up(i)) i = w.below(w.machines.size());
+            loss(w, kinds[w.below(5)], i);
+            while (w.lost_now() > 0) orders(w, 50ms);
+            w.must_bear("once all had their time");
+        }
+    }
+}
+
 Test(core, three_machines) {
     for (std::uint64_t seed = 1; seed <= 200 / kLess; ++seed) worst_days(seed, 3, 3, 1, 12);
 }
--- a/tests/lighthouse/core_world.h
+++ b/tests/lighthouse/core_world.h
@@ -58,6 +58,7 @@
     std::map<lamp::Ticket, Order> orders;
     lamp::test::Register chosen;
     std::size_t losses;
+    bool diskless = false;    // whoever starts again has nothing, and is another voter
     std::uint64_t order = 0, tickets = 0, version = 0, unsettled = 0, settled = 0;
 
     Core(std::uint64_t seed, std::size_t founders, std::size_t size, std::size_t may_lose)
@@ -79,6 +80,10 @@
 
     void start(std::size_t i, std::size_t founders = 0) {
         Machine& m = machines[i];
+        if (diskless && m.life != 0) {
+            m.disk = {};
+            m.disk.disk = random() | 1;
+        }
         std::vector<std::string> seeds;
         if (founders > 0)
             for (std::size_t o = 0; o < founders; ++o) seeds.push_back(machines[o].address);
