Keep the quota's divisors from doubling with each wave of a mass restart

A newcomer's share of so few was told to all, and stayed as nameless when it was restarted. Change: where touch is a sample, who knew fewer than the unheard one takes the others' figures, and the nameless are capped at what those in touch can drop. Where all meet, nothing changes.

--- a/src/pilot/quota_lease.cpp
+++ b/src/pilot/quota_lease.cpp
@@ -30,6 +30,7 @@
         nameless_unheard_ = TimePoint{};
     }
     looked_ = now;
+    sampled_ = !convoy.meets_each();
     bool quorum = false;
     for (const std::string& lighthouse : confirmed) {
         const auto it = convoy.members().find(lighthouse);
@@ -141,9 +142,14 @@
         const auto known = static_cast<std::size_t>(end - by_known.begin());
         const std::size_t then = std::max<std::size_t>(known + 1, peer.counts);
         majority_ = majority_ && 2 * touched[known] > then;
+        // Touch that is a sample tells no shares: who knew fewer than the unheard one leaves them to those
+        // who knew as many and tell theirs.
         if (!peer.hearsay)    // rounded up
-            divisor_ = std::max(divisor_, static_cast<std::uint32_t>(
-                                              (then * touched.back() + touched[known] - 1) / touched[known]));
+            divisor_ =
+                std::max(divisor_, static_cast<std::uint32_t>(
+                                       sampled_ && known + 1 < then
+                                           ? then
+                                           : (then * touched.back() + touched[known] - 1) / touched[known]));
         const bool may =
             quorum && (began_ || !peer.hearsay) && 2 * touched[known] >= then && now - peer.heard > kTouch;
         if (!may) {
@@ -159,6 +165,9 @@
         no_longer(peer);
         peers_.erase(address);
     }
+    // Figures by samples compound over many restarts: never so many that those in touch could not drop them.
+    if (sampled_)
+        nameless_ = std::min(nameless_, 2 * touched.back() - std::min(2 * touched.back(), peers_.size() + 1));
     if (nameless_ == 0 || !quorum || 2 * touched.back() < peers_.size() + 1 + nameless_) {
         nameless_unheard_ = TimePoint{};
     } else if (nameless_unheard_ == TimePoint{}) {
--- a/src/pilot/quota_lease.h
+++ b/src/pilot/quota_lease.h
@@ -19,9 +19,13 @@
 //   nobody hears: it waits until it hears them, or they were unheard for kUnknown.
 // - What a pilot that is counted no longer knew of others and this one doesn't, by its figure, stays counted
 //   without a name, on the same terms.
-// Price: where more than half of the pilots are lost at once, never come back and said no goodbye, the others
-// share what was their part until they were restarted themselves. Limit: pilots that hear each other but no
-// quorum of lighthouses for over kUnknown, while on the quorum's side no pilot is left that ever met them.
+// Limit: where members are too many to meet each, touch is a sample that may fall to nothing for a moment.
+// There newcomers that know too little leave no room beyond the figures of others, and the nameless stay so
+// few that those in touch can drop them: else a mass restart doubles the divisors again and again (the
+// incident quotas-after-a-mass-restart). Price: where more than half of the pilots are lost at once, never
+// come back and said no goodbye, the others share what was their part until they were restarted themselves.
+// Limit: pilots that hear each other but no quorum of lighthouses for over kUnknown, while on the quorum's
+// side no pilot is left that ever met them.
 #pragma once
 
 #include <cstdint>
@@ -76,6 +80,7 @@
     TimePoint nameless_unheard_{};
     std::deque<std::pair<TimePoint, std::uint32_t>> lately_;    // divisor_, and when
     TimePoint looked_{}, held_at_{}, returned_{};
+    bool sampled_ = false;     // so many that touch is reckoned from samples
     bool majority_ = false;    // more than half of the pilots are in touch
     bool agreed_ = false;      // a lighthouse that a quorum bore out knew no others, once
     bool began_ = false;       // it had a lease
