Count what became of requests by tenant and route, and serve a gateway's metrics

No figure told why a request got 429: for want of a lease, of a bucket, or of units, and for which tenant. Change: AdmissionStatistics counts outcomes by tenant and route; the balancer counts refusals without a lease; GET /metrics at the readiness address tells both, with the units that are here. No logic changes.

--- a/src/base/net/api_server.cpp
+++ b/src/base/net/api_server.cpp
@@ -316,15 +316,20 @@
 }
 
 std::unique_ptr<ApiServer> serve_readiness(Reactor& reactor, const std::string& address,
-                                           std::function<bool()> is_ready) {
+                                           std::function<bool()> is_ready,
+                                           std::function<std::string()> describe_metrics) {
     ApiServer::Limits limits;
     limits.max_connections = 16;
     limits.max_body_size = limits.max_pending_bytes = 4 * 1024;
     return std::make_unique<ApiServer>(
         reactor, ApiServer::listen(address), limits,
-        [ready = std::move(is_ready)](const ApiCall& call, const std::shared_ptr<ApiCaller>& caller) {
-            if (call.target.substr(0, call.target.find('?')) != "/readiness") caller->send_reply({404});
+        [ready = std::move(is_ready), metrics = std::move(describe_metrics)](
+            const ApiCall& call, const std::shared_ptr<ApiCaller>& caller) {
+            const std::string_view path = call.target.substr(0, call.target.find('?'));
+            const bool wants_metrics = metrics && path == "/metrics";
+            if (path != "/readiness" && !wants_metrics) caller->send_reply({404});
             else if (call.method != "GET") caller->send_reply({405, {}, {}, "Allow: GET\r\n"});
+            else if (wants_metrics) caller->send_reply({200, metrics(), "text/plain; version=0.0.4"});
             else caller->send_reply({ready() ? 200 : 503});
         });
 }
--- a/src/base/net/api_server.h
+++ b/src/base/net/api_server.h
@@ -123,8 +123,10 @@
     Counters counters_;
 };
 
-// Serves GET /readiness with 200 or 503, for load balancers; every other request is rejected.
+// Serves GET /readiness with 200 or 503, for load balancers, and GET /metrics with the text of
+// `describe_metrics`, where there is one; every other request is rejected.
 std::unique_ptr<ApiServer> serve_readiness(Reactor& reactor, const std::string& address,
-                                           std::function<bool()> is_ready);
+                                           std::function<bool()> is_ready,
+                                           std::function<std::string()> describe_metrics = {});
 
 }    // namespace shaletray
--- a/src/cluster/quota/bucket_table.h
+++ b/src/cluster/quota/bucket_table.h
@@ -30,6 +30,10 @@
     void for_each(Action action) {
         for (const auto& [tenant, index] : index_by_tenant_) action(index, buckets_[index]);
     }
+    template <class Action>
+    void for_each(Action action) const {
+        for (const auto& [tenant, index] : index_by_tenant_) action(index, buckets_[index]);
+    }
 
 private:
     std::vector<TenantBucket> buckets_;
--- a/src/cluster/quota/quota_balancer.cpp
+++ b/src/cluster/quota/quota_balancer.cpp
@@ -215,6 +215,14 @@
     return limit == nullptr ? 0.0 : limits_.implied_level(*limit, clock);
 }
 
+std::map<std::string, double> QuotaBalancer::Impl::available_units_by_tenant(TimePoint now) const {
+    std::map<std::string, double> units_by_tenant;
+    buckets_.for_each([&](BucketTable::Index, const TenantBucket& bucket) {
+        if (!bucket.name.empty()) units_by_tenant[bucket.name] = available_units(bucket.name, now);
+    });
+    return units_by_tenant;
+}
+
 Statistics QuotaBalancer::Impl::statistics() const {
     Statistics result = statistics_;
     result.buckets = buckets_.size();
@@ -250,6 +258,9 @@
 double QuotaBalancer::available_units(const std::string& tenant, TimePoint now) const {
     return impl_->available_units(tenant, now);
 }
+std::map<std::string, double> QuotaBalancer::available_units_by_tenant(TimePoint now) const {
+    return impl_->available_units_by_tenant(now);
+}
 Statistics QuotaBalancer::statistics() const { return impl_->statistics(); }
 
 }    // namespace shaletray::quota
--- a/src/cluster/quota/quota_balancer.h
+++ b/src/cluster/quota/quota_balancer.h
@@ -83,7 +83,8 @@
     std::uint64_t granted = 0;    // decisions of request_unit()
     std::uint64_t queued = 0;
     std::uint64_t rejected = 0;
-    std::uint64_t sent = 0;    // messages
+    std::uint64_t rejected_without_lease = 0;    // of these, while no refill was permitted
+    std::uint64_t sent = 0;                      // messages
     std::uint64_t sent_bytes = 0;
     std::uint64_t received = 0;
     // Messages that were malformed, out of order or of no neighbour, and entries of unknown tenants.
@@ -124,6 +125,8 @@
     TimePoint next_deadline() const;
     // Units that could be granted now.
     double available_units(const std::string& tenant, TimePoint now) const;
+    // The same for all tenants of which requests came to this gateway of late.
+    std::map<std::string, double> available_units_by_tenant(TimePoint now) const;
     Statistics statistics() const;
 
 private:
--- a/src/cluster/quota/quota_balancer_impl.h
+++ b/src/cluster/quota/quota_balancer_impl.h
@@ -33,6 +33,7 @@
     void tick(TimePoint now, Actions& actions);
     TimePoint next_deadline() const;
     double available_units(const std::string& tenant, TimePoint now) const;
+    std::map<std::string, double> available_units_by_tenant(TimePoint now) const;
     Statistics statistics() const;
 
 private:
--- a/src/cluster/quota/request_admission.cpp
+++ b/src/cluster/quota/request_admission.cpp
@@ -39,7 +39,10 @@
     if (bucket.name.empty()) bucket.name = tenant;
     bucket.demand = bucket.demand * std::max(0.0, 1.0 - seconds(now - bucket.last_used)) + 1.0;
     bucket.last_used = now;
-    if (!refill_clock_.is_running(now)) return reject(kUnavailableRetryAfter, retry_after);
+    if (!refill_clock_.is_running(now)) {
+        ++statistics_.rejected_without_lease;
+        return reject(kUnavailableRetryAfter, retry_after);
+    }
     if (bucket.consume_unit()) {
         queue_update(bucket);
         ++statistics_.granted;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 
 #include "base/runtime/log_sink.h"
 #include "cluster/node/node_membership.h"
+#include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 
 namespace shaletray::gateway {
@@ -66,7 +67,8 @@
         *dispatcher_, request_mapper_, ClientCapacity{max_sockets(settings_), settings_.memory_mb}, counters_,
         reactor_, ClientListener::listen(settings_.frontend_address), max_client_sockets(settings_),
         [this] { return ready(); });
-    readiness_server_ = serve_readiness(reactor_, settings_.readiness_address, [this] { return ready(); });
+    readiness_server_ = serve_readiness(
+        reactor_, settings_.readiness_address, [this] { return ready(); }, [this] { return metrics_text(); });
     log_event(LogLevel::Info, "gateway_started",
               {log_field("address", address_), log_field("incarnation", incarnation_),
                log_field("zone", settings_.zone)});
@@ -281,6 +283,7 @@
     membership_->set_quota_divisor(quota_lease_.quota_divisor());
     dispatcher_->set_gateway_count(
         std::max(quota_lease_.possible_gateway_count(), static_cast<std::uint32_t>(peer_set.ring.size())));
+    known_gateway_count_ = peer_set.ring.size();
     const bool holds_lease = peer_set.divisor > 0 && peer_set.refill_until > now;
     if (holds_lease != had_lease_) {
         had_lease_ = holds_lease;
@@ -309,23 +312,40 @@
     reactor_.stop();
 }
 
+std::string Gateway::metrics_text() const {
+    const auto& configuration_index = control_plane_client_->configuration_index();
+    const std::map<std::string, double> units = quota_balancer_->available_units_by_tenant(clock_.now());
+    return format_metrics(
+        {.zone = settings_.zone,
+         .admissions = dispatcher_->admissions(),
+         .quota = quota_balancer_->statistics(),
+         .units = units,
+         .ready = ready(),
+         .holds_quota_lease = had_lease_,
+         .configuration_version = configuration_index ? configuration_index->config().version : 0,
+         .quota_divisor = quota_lease_.quota_divisor(),
+         .known_gateways = known_gateway_count_});
+}
+
 std::string Gateway::counters_text() const {
     const RequestDispatcher::Statistics& dispatch_statistics = dispatcher_->statistics();
     const ControlPlaneClient::Statistics& update_statistics = control_plane_client_->statistics();
     const transport::ConnectionManager::Counters& message_statistics = connections_->counters();
     return fmt::format(
-        "taken={} granted={} queued={} rejected_quota={} rejected_capacity={} served={} failed={} sent={} "
+        "taken={} granted={} queued={} rejected_quota={} rejected_without_lease={} rejected_capacity={} "
+        "served={} failed={} sent={} "
         "dialled={} reused={} "
         "clients={} control_updates={} full_updates={} delta_updates={} malformed_updates={} "
         "messages_sent={} message_bytes={} messages_dropped={} "
         "messages_malformed={} {}",
         counters_.requests_accepted, dispatch_statistics.granted, dispatch_statistics.queued,
-        dispatch_statistics.rejected_quota, dispatch_statistics.rejected_capacity, dispatch_statistics.served,
-        dispatch_statistics.failed, counters_.attempts_sent, counters_.server_connections_dialled,
-        counters_.server_connections_reused, counters_.clients_accepted, update_statistics.updates,
-        update_statistics.full_updates, update_statistics.delta_updates, update_statistics.malformed_updates,
-        message_statistics.sent, message_statistics.sent_bytes, message_statistics.dropped,
-        message_statistics.malformed, transport::describe_traffic(message_statistics));
+        dispatch_statistics.rejected_quota, quota_balancer_->statistics().rejected_without_lease,
+        dispatch_statistics.rejected_capacity, dispatch_statistics.served, dispatch_statistics.failed,
+        counters_.attempts_sent, counters_.server_connections_dialled, counters_.server_connections_reused,
+        counters_.clients_accepted, update_statistics.updates, update_statistics.full_updates,
+        update_statistics.delta_updates, update_statistics.malformed_updates, message_statistics.sent,
+        message_statistics.sent_bytes, message_statistics.dropped, message_statistics.malformed,
+        transport::describe_traffic(message_statistics));
 }
 
 }    // namespace shaletray::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -33,6 +33,8 @@
     void apply_settings(const runtime::NodeSettings& settings);
     // All counters as "name=value" pairs, for the log.
     std::string counters_text() const;
+    // All metrics, for GET /metrics at the readiness address.
+    std::string metrics_text() const;
 
 private:
     bool ready() const;
@@ -73,6 +75,7 @@
     TimePoint next_tick_at_{};      // of tick_timer_
     TimePoint stopping_since_{};    // zero: not ordered to stop
     bool was_ready_ = false, had_lease_ = false;
+    std::size_t known_gateway_count_ = 0;    // at the last update of the peers
 };
 
 }    // namespace shaletray::gateway
--- /dev/null
+++ b/src/gateway/gateway_metrics.cpp
@@ -0,0 +1,60 @@
+#include "gateway/gateway_metrics.h"
+
+#include <fmt/format.h>
+
+namespace shaletray::gateway {
+namespace {
+
+// A label's value, with what would end it escaped.
+std::string escape_label(std::string_view text) {
+    std::string escaped;
+    for (const char c : text) {
+        if (c == '\\' || c == '"') escaped += '\\';
+        if (c == '\n') escaped += "\\n";
+        else escaped += c;
+    }
+    return escaped;
+}
+
+void append_value(std::string& out, std::string_view name, double value) {
+    out += fmt::format("gateway_{} {}\n", name, value);
+}
+
+void append_counts(std::string& out, std::string_view label,
+                   const std::map<std::string, AdmissionStatistics::Counts>& counts_by_name) {
+    for (const auto& [name, counts] : counts_by_name) {
+        for (std::size_t outcome = 0; outcome < counts.size(); ++outcome) {
+            out += fmt::format("gateway_requests_by_{}_total{{{}=\"{}\",outcome=\"{}\"}} {}\n", label, label,
+                               escape_label(name), outcome_name(static_cast<AdmissionOutcome>(outcome)),
+                               counts[outcome]);
+        }
+    }
+}
+
+}    // namespace
+
+std::string format_metrics(const MetricsSource& source) {
+    std::string out = fmt::format("gateway_info{{zone=\"{}\"}} 1\n", escape_label(source.zone));
+    append_value(out, "ready", source.ready ? 1 : 0);
+    append_value(out, "holds_quota_lease", source.holds_quota_lease ? 1 : 0);
+    append_value(out, "configuration_version", static_cast<double>(source.configuration_version));
+    append_value(out, "quota_divisor", source.quota_divisor);
+    append_value(out, "known_gateways", static_cast<double>(source.known_gateways));
+    append_value(out, "quota_granted_total", static_cast<double>(source.quota.granted));
+    append_value(out, "quota_queued_total", static_cast<double>(source.quota.queued));
+    append_value(out, "quota_rejected_total", static_cast<double>(source.quota.rejected));
+    append_value(out, "quota_rejected_without_lease_total",
+                 static_cast<double>(source.quota.rejected_without_lease));
+    append_value(out, "quota_messages_sent_total", static_cast<double>(source.quota.sent));
+    append_value(out, "quota_messages_received_total", static_cast<double>(source.quota.received));
+    append_value(out, "quota_expired_transfers_total", static_cast<double>(source.quota.expired_transfers));
+    append_value(out, "quota_units_sent_total", source.quota.units_sent);
+    append_value(out, "quota_units_received_total", source.quota.units_received);
+    append_counts(out, "tenant", source.admissions.by_tenant());
+    append_counts(out, "route", source.admissions.by_route());
+    for (const auto& [tenant, units] : source.units)
+        out += fmt::format("gateway_quota_units{{tenant=\"{}\"}} {}\n", escape_label(tenant), units);
+    return out;
+}
+
+}    // namespace shaletray::gateway
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -36,6 +36,8 @@
 
 void RequestDispatcher::PendingRequest::on_rejected(Duration, RejectionReason reason) {
     ++dispatcher.statistics_.rejected_capacity;
+    dispatcher.admissions_.record(tenant_name, route_match().route->name,
+                                  AdmissionOutcome::RejectedByCapacity);
     if (charged) dispatcher.balancer_->return_unit(tenant_name, dispatcher.reactor_.clock().now());
     const Duration delay = dispatcher.random_retry_delay();
     dispatcher.retire_request(*this).on_rejected(delay, reason);
@@ -89,7 +91,9 @@
             pending.charged = true;
             forward_request(pending);
             break;
-        case quota::AdmissionDecision::Rejected: reject_over_quota(pending, retry_after); break;
+        case quota::AdmissionDecision::Rejected:
+            reject_over_quota(pending, AdmissionOutcome::RejectedAtOnce, retry_after);
+            break;
         case quota::AdmissionDecision::Queued: enqueue(pending, max_wait, retry_after); break;
     }
 }
@@ -113,7 +117,7 @@
     expired.wait_timer = 0;
     if (retry_admission(expired)) return;
     remove_from_queue(expired);
-    reject_over_quota(expired, expired.retry_after);
+    reject_over_quota(expired, AdmissionOutcome::RejectedAfterWait, expired.retry_after);
 }
 
 void RequestDispatcher::remove_from_queue(PendingRequest& pending) {
@@ -142,14 +146,17 @@
     return true;
 }
 
-void RequestDispatcher::reject_over_quota(PendingRequest& pending, Duration retry_after) {
+void RequestDispatcher::reject_over_quota(PendingRequest& pending, AdmissionOutcome outcome,
+                                          Duration retry_after) {
     ++statistics_.rejected_quota;
+    admissions_.record(pending.tenant_name, pending.route_match().route->name, outcome);
     retire_request(pending).on_rejected(retry_after, RejectionReason::Quota);
 }
 
 void RequestDispatcher::forward_request(PendingRequest& pending) {
     if (pending.charged) ++statistics_.granted;
     const configuration::Route& route = *pending.route_match().route;
+    admissions_.record(pending.tenant_name, route.name, AdmissionOutcome::Granted);
     ServicePipeline& pipeline =
         pipelines_.pipeline_for(configuration::ConfigurationIndex::pick_service(route, random_()));
     const auto class_entry = pipeline.class_by_route.find(route.name);
@@ -221,7 +228,7 @@
         const auto found = pending_.find(ticket);
         if (found == pending_.end()) continue;
         remove_from_queue(*found->second);
-        reject_over_quota(*found->second, found->second->retry_after);
+        reject_over_quota(*found->second, AdmissionOutcome::RejectedAfterWait, found->second->retry_after);
     }
     pipelines_.abandon_all_requests();
 }
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -13,6 +13,7 @@
 
 #include "cluster/quota/quota_balancer.h"
 #include "data_plane/engine/engine.h"
+#include "gateway/admission_statistics.h"
 #include "gateway/http_mapping/request_mapper.h"
 #include "gateway/http_mapping/upstream_hosts.h"
 #include "gateway/service_pipelines.h"
@@ -61,6 +62,7 @@
         std::uint64_t failed = 0;
     };
     const Statistics& statistics() const { return statistics_; }
+    const AdmissionStatistics& admissions() const { return admissions_; }
 
 private:
     class PendingRequest;
@@ -69,7 +71,7 @@
     void on_wait_expired(std::uint64_t ticket);
     void remove_from_queue(PendingRequest& pending);
     bool retry_admission(PendingRequest& pending);
-    void reject_over_quota(PendingRequest& pending, Duration retry_after);
+    void reject_over_quota(PendingRequest& pending, AdmissionOutcome outcome, Duration retry_after);
     void forward_request(PendingRequest& pending);
     DownstreamConnection& retire_request(PendingRequest& pending);
     Duration random_retry_delay();
@@ -86,6 +88,7 @@
     std::size_t queued_count_ = 0;
     std::uint64_t last_ticket_ = 0;
     Statistics statistics_;
+    AdmissionStatistics admissions_;
 };
 
 }    // namespace shaletray::gateway
--- /dev/null
+++ b/tests/gateway/gateway_metrics_test.cpp
@@ -0,0 +1,51 @@
+// What the metrics tell of requests, by tenant and by route.
+#include "gateway/gateway_metrics.h"
+
+#include <criterion/criterion.h>
+
+using namespace shaletray;
+using namespace shaletray::gateway;
+
+namespace {
+
+std::string metrics_of(const AdmissionStatistics& admissions) {
+    const std::string zone = "north";
+    const std::map<std::string, double> units = {{"acme", 2.5}};
+    return format_metrics({.zone = zone, .admissions = admissions, .quota = {}, .units = units});
+}
+
+bool contains(const std::string& text, const std::string& line) {
+    return text.find(line + "\n") != std::string::npos;
+}
+
+}    // namespace
+
+Test(gateway_metrics, tell_why_requests_of_a_tenant_were_rejected) {
+    AdmissionStatistics admissions;
+    admissions.record("acme", "read", AdmissionOutcome::Granted);
+    admissions.record("acme", "pay", AdmissionOutcome::RejectedAtOnce);
+    admissions.record("acme", "pay", AdmissionOutcome::RejectedAfterWait);
+    admissions.record("zeta", "read", AdmissionOutcome::RejectedByCapacity);
+    const std::string text = metrics_of(admissions);
+    cr_expect(contains(text, R"(gateway_requests_by_tenant_total{tenant="acme",outcome="granted"} 1)"));
+    cr_expect(
+        contains(text, R"(gateway_requests_by_tenant_total{tenant="acme",outcome="rejected_at_once"} 1)"));
+    cr_expect(
+        contains(text, R"(gateway_requests_by_route_total{route="pay",outcome="rejected_after_wait"} 1)"));
+    cr_expect(contains(
+        text, R"(gateway_requests_by_tenant_total{tenant="zeta",outcome="rejected_by_capacity"} 1)"));
+    cr_expect(contains(text, R"(gateway_requests_by_tenant_total{tenant="zeta",outcome="granted"} 0)"));
+    cr_expect(contains(text, R"(gateway_quota_units{tenant="acme"} 2.5)"));
+    cr_expect(contains(text, R"(gateway_info{zone="north"} 1)"));
+}
+
+Test(gateway_metrics, escape_names_and_bound_their_number) {
+    AdmissionStatistics admissions;
+    admissions.record("a\"b\\c\nd", "read", AdmissionOutcome::Granted);
+    cr_expect(contains(metrics_of(admissions),
+                       R"(gateway_requests_by_tenant_total{tenant="a\"b\\c\nd",outcome="granted"} 1)"));
+    for (std::size_t i = 0; i < 2 * AdmissionStatistics::kMaxNames; ++i)
+        admissions.record("tenant" + std::to_string(i), "read", AdmissionOutcome::Granted);
+    cr_expect(admissions.by_tenant().size() == AdmissionStatistics::kMaxNames + 1);
+    cr_expect(admissions.by_tenant().at("other")[0] == AdmissionStatistics::kMaxNames + 1);
+}
