--- /dev/null
+++ b/testbed/soak/soak_plan.cpp
@@ -0,0 +1,125 @@
+#include "soak/soak_plan.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace shaletray::testbed {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::vector<std::string> kZones = {"north", "south", "west", "east", "middle"};
+// Small tenants are many: the one of rank n sends 1/n^0.9 of what the first sends.
+constexpr double kTenantSizeExponent = 0.9;
+constexpr int kCallersPerGateway = 4, kMinCallersPerTenant = 3;
+// Each server carries this many requests a second at most, of which it takes part of them at once.
+constexpr double kRequestsPerServer = 60.0;
+constexpr int kMinServersPerService = 4;
+// Series of events: one begins in each of these steps, in seconds, and has up to so many events.
+constexpr double kSeriesInterval = 4.0, kFirstSeriesAt = 2.0;
+constexpr int kMaxSeriesLength = 6;
+// Seconds without new events at the end, in which a system that works serves everybody again.
+constexpr double kCalmEnd = 8.0;
+
+RoutePlan make_route(const std::string& name, const std::string& service, bool is_repeatable, double rate,
+                     Duration latency_target, Duration deadline) {
+    RoutePlan route;
+    route.name = name;
+    route.host = name + ".example";
+    route.prefix = "/" + name + "/";
+    route.service = service;
+    route.is_repeatable = is_repeatable;
+    route.rate = rate;
+    route.latency_target = latency_target;
+    route.deadline = deadline;
+    route.attempt_timeout = deadline * 2;
+    route.body_size = is_repeatable ? 0 : 200;
+    return route;
+}
+
+void add_tenants(const SoakOptions& options, SystemPlan& plan) {
+    const double total_rate = options.requests_per_gateway * options.gateways;
+    double total_weight = 0.0;
+    for (int t = 0; t < options.tenants; ++t) total_weight += std::pow(t + 1, -kTenantSizeExponent);
+    for (int t = 0; t < options.tenants; ++t) {
+        const double weight = std::pow(t + 1, -kTenantSizeExponent);
+        const double quota = total_rate * weight / total_weight * options.quota_headroom;
+        plan.tenants.push_back({fmt::format("tenant{}", t), fmt::format("key{}x{:x}", t, options.seed + 4711),
+                                weight, quota, quota, 1});
+    }
+    plan.tenants.push_back({"operators", fmt::format("keyx{:x}", options.seed + 4711), 0.0, 1.0, 1.0, 1});
+}
+
+void add_callers(const SoakOptions& options, std::mt19937_64& random, SystemPlan& plan) {
+    std::uniform_real_distribution<double> draw;
+    const auto add_caller = [&](std::size_t tenant) {
+        plan.callers.push_back({tenant, kZones[random() % kZones.size()], draw(random)});
+    };
+    std::vector<double> weights;
+    for (int t = 0; t < options.tenants; ++t) {
+        const auto tenant = static_cast<std::size_t>(t);
+        weights.push_back(plan.tenants[tenant].weight);
+        for (int i = 0; i < kMinCallersPerTenant; ++i) add_caller(tenant);
+    }
+    std::discrete_distribution<std::size_t> by_weight(weights.begin(), weights.end());
+    while (plan.callers.size() < static_cast<std::size_t>(options.gateways * kCallersPerGateway))
+        add_caller(by_weight(random));
+}
+
+}    // namespace
+
+SystemPlan make_soak_system(const SoakOptions& options, const std::string& program_directory) {
+    SystemPlan plan;
+    plan.name = "soak";
+    plan.program_directory = program_directory;
+    plan.seed = options.seed;
+    plan.new_connection_fraction = 0.0;
+    plan.extra_settings["bounds.quota_slack"] = fmt::format("{}", options.quota_slack);
+    for (int m = 0; m < options.gateways; ++m) {
+        const bool has_controller = m < options.controllers;
+        plan.machines.push_back(
+            {kZones[static_cast<std::size_t>(m) % kZones.size()], true, has_controller, has_controller});
+    }
+    const double total_rate = options.requests_per_gateway * options.gateways;
+    const int server_count =
+        std::max(kMinServersPerService, static_cast<int>(std::ceil(total_rate / 2.0 / kRequestsPerServer)));
+    plan.services = {{"lookups", server_count, 6, 1900, 40ms}, {"trades", server_count, 6, 1900, 60ms}};
+    plan.routes = {make_route("read", "lookups", true, total_rate * 0.6, 500ms, 1200ms),
+                   make_route("trade", "trades", false, total_rate * 0.25, 600ms, 1500ms),
+                   make_route("save", "trades", false, total_rate * 0.15, 300ms, 800ms)};
+    std::mt19937_64 random(options.seed);
+    add_tenants(options, plan);
+    add_callers(options, random, plan);
+    return plan;
+}
+
+std::vector<SoakEvent> draw_soak_events(const SoakOptions& options, const std::vector<std::string>& nodes,
+                                        const SystemPlan& plan) {
+    std::vector<SoakEvent> events;
+    if (options.quiet) return events;
+    std::mt19937_64 random(options.seed ^ 0x50a4);
+    std::uniform_real_distribution<double> draw;
+    for (double start = kFirstSeriesAt; start < options.seconds - kCalmEnd; start += kSeriesInterval) {
+        const auto kind = static_cast<SoakEvent::Kind>(random() % 5);
+        const auto length = 1 + random() % kMaxSeriesLength;
+        // At times all at the same moment; otherwise so close that the next begins before the last is over.
+        const double gap = random() % 3 == 0 ? 0.0 : 0.2 + draw(random);
+        for (std::size_t i = 0; i < length; ++i) {
+            SoakEvent event;
+            event.kind = kind;
+            event.at = start + gap * static_cast<double>(i);
+            event.node = nodes[random() % nodes.size()];
+            event.service = plan.services[random() % plan.services.size()].name;
+            event.pause = 0.2 + 2.0 * draw(random);
+            events.push_back(event);
+        }
+    }
+    std::stable_sort(events.begin(), events.end(),
+                     [](const SoakEvent& a, const SoakEvent& b) { return a.at < b.at; });
+    return events;
+}
+
+}    // namespace shaletray::testbed
--- a/testbed/system/clients.cpp
+++ b/testbed/system/clients.cpp
@@ -15,10 +15,11 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kPollEvery = 1s, kPollPatience = 1s;
-constexpr Duration kDial = 1s;       // to establish a connection
-constexpr Duration kKept = 5s;       // idle connections are not reused after that
-constexpr Duration kLeast = 20ms;    // remaining time that a retry needs
-constexpr Duration kPause = 10ms;    // before a retry without a stated retry time
+constexpr Duration kDial = 1s;             // to establish a connection
+constexpr Duration kKept = 5s;             // idle connections are not reused after that
+constexpr Duration kKeptByCaller = 12s;    // the same of callers: four fifths of the gateways' idle timeout
+constexpr Duration kLeast = 20ms;          // remaining time that a retry needs
+constexpr Duration kPause = 10ms;          // before a retry without a stated retry time
 constexpr int kMostTries = 4;
 
 bool is_promise(int status) { return status == 429 || status == 503 || status == 408 || status == 421; }
@@ -131,6 +132,7 @@
     Stream stream;
     http::Parser parser{http::Parser::Kind::Response, {64 * 1024, 16 * 1024 * 1024, 200}};
     std::string zone;
+    std::size_t caller = 0;
     int gate = -1;
     PendingRequest* ask = nullptr;    // none: idle
     TimePoint used{};
@@ -146,6 +148,12 @@
       front_(front),
       settings_(std::move(settings)),
       random_(settings_.seed) {
+    std::vector<double> weights;
+    for (const TenantPlan& tenant : settings_.tenants) weights.push_back(tenant.weight);
+    callers_by_tenant_.resize(std::max<std::size_t>(1, settings_.tenants.size()));
+    for (std::size_t i = 0; i < settings_.callers.size(); ++i)
+        callers_by_tenant_.at(settings_.callers[i].tenant).push_back(i);
+    tenant_distribution_ = std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
     reset_statistics();
 }
 
@@ -162,6 +170,7 @@
 void Clients::reset_statistics() {
     statistics_ = {};
     statistics_.by_route.resize(settings_.routes.size());
+    statistics_.by_caller.resize(settings_.callers.size());
     started_at_ = reactor_.clock().now();
 }
 
@@ -187,11 +196,8 @@
         const RoutePlan& route = settings_.routes[r];
         pending_requests_.push_back(std::make_unique<PendingRequest>());
         PendingRequest& ask = *pending_requests_.back();
-        std::vector<double> weights;
-        for (const TenantPlan& tenant : settings_.tenants) weights.push_back(tenant.weight);
         ask.route = r;
-        ask.tenant = std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(random_);
-        ask.zone = settings_.zones[random_() % settings_.zones.size()];
+        draw_sender(ask);
         ask.target = fmt::format("{}{:x}?n={}", route.prefix, random_() % 100000, ++last_request_number_);
         ask.body.assign(route.body_size, static_cast<char>('A' + random_() % 26));
         ask.due_at = reactor_.clock().now();
@@ -209,26 +215,44 @@
     });
 }
 
-Clients::Connection* Clients::find_idle_connection(const std::string& zone) {
+// A tenant by its weight, and one of its callers, where there are any.
+void Clients::draw_sender(PendingRequest& request) {
+    request.tenant = tenant_distribution_(random_);
+    request.zone = settings_.zones[random_() % settings_.zones.size()];
+    const std::vector<std::size_t>& callers = callers_by_tenant_[request.tenant];
+    if (callers.empty()) return;
+    request.caller = callers[random_() % callers.size()];
+    request.zone = settings_.callers[request.caller].zone;
+    ++statistics_.by_caller[request.caller].due;
+}
+
+Clients::Connection* Clients::find_idle_connection(const PendingRequest& request) {
     const TimePoint now = reactor_.clock().now();
+    const Duration kept = settings_.callers.empty() ? kKept : kKeptByCaller;
     std::vector<Connection*> old;
     Connection* found = nullptr;
     for (const auto& line : connections_) {
         if (line->ask != nullptr) continue;
-        if (now - line->used > kKept || !line->stream.is_quiet()) old.push_back(line.get());
-        else if (line->zone == zone) found = line.get();
+        const bool matches =
+            settings_.callers.empty() ? line->zone == request.zone : line->caller == request.caller;
+        if (now - line->used > kept || !line->stream.is_quiet()) old.push_back(line.get());
+        else if (matches) found = line.get();
     }
     for (Connection* line : old) remove_connection(*line);
     return found;
 }
 
 Clients::Connection* Clients::open_connection(PendingRequest& request) {
-    const double draw = std::uniform_real_distribution<double>()(random_);
+    // A caller's first try goes where its hash puts it, further ones to other gateways.
+    const bool by_hash = !settings_.callers.empty() && request.attempts <= 1;
+    const double draw = by_hash ? settings_.callers[request.caller].gateway_draw
+                                : std::uniform_real_distribution<double>()(random_);
     const int gate = front_.choose_gateway(request.zone, request.gateway_index, draw);
     if (gate < 0) return nullptr;
     connections_.push_back(std::make_unique<Connection>(*this, reactor_));
     Connection& line = *connections_.back();
     line.zone = request.zone;
+    line.caller = request.caller;
     line.gate = gate;
     ++statistics_.connections_opened;
     if (!line.stream.connect(front_.endpoint_at(gate).frontend_address)) {
@@ -243,7 +267,7 @@
     ++request.attempts;
     ++statistics_.by_route[request.route].attempts;
     request.was_rejected = false;
-    Connection* line = new_connection ? nullptr : find_idle_connection(request.zone);
+    Connection* line = new_connection ? nullptr : find_idle_connection(request);
     if (line == nullptr) line = open_connection(request);
     if (line == nullptr) return retry_later(request, kPause * 5, true);    // nothing was sent
     request.gateway_index = line->gate;
@@ -285,6 +309,7 @@
     PendingRequest& ask = *connection.ask;
     const http::Buffer& in = connection.stream.input_buffer();
     const int status = connection.parser.status_code();
+    ++statistics_.attempts_by_status[status];
     const bool good = board_.heard(ask.id, status, connection.parser.header(in, "X-Server-Seal"),
                                    connection.parser.body(in));
     const double told =
@@ -310,6 +335,7 @@
     PendingRequest* const ask = std::exchange(connection.ask, nullptr);
     remove_connection(connection);
     if (ask == nullptr) return;
+    ++statistics_.attempts_by_status[0];
     ask->connection = nullptr;
     retry_later(*ask, kPause, settings_.routes[ask->route].is_repeatable);
 }
@@ -334,6 +360,11 @@
     }
     ClientStatistics::RouteCounters& r = statistics_.by_route[request.route];
     if (request.due_at >= started_at_) {
+        if (!settings_.callers.empty()) {
+            ClientStatistics::CallerCounters& caller = statistics_.by_caller[request.caller];
+            ++(was_served ? caller.served : request.was_rejected ? caller.rejected : caller.failed);
+            caller.gateway = request.gateway_index;
+        }
         ClientStatistics::SecondCounters& second = statistics_.by_second[request.second_index];
         const Duration took = reactor_.clock().now() - request.due_at;
         if (was_served) {
--- a/testbed/system/clients.h
+++ b/testbed/system/clients.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -71,6 +72,13 @@
     int priority = 1;
 };
 
+// One client with a connection of its own, which it uses until the gateway's process is gone.
+struct CallerPlan {
+    std::size_t tenant = 0;    // index of its tenant
+    std::string zone;
+    double gateway_draw = 0.0;    // from 0 to 1: where the load balancer's hash puts it
+};
+
 // Results of all clients since the last reset.
 struct ClientStatistics {
     // Requests of one route; attempts count each send.
@@ -79,6 +87,13 @@
         std::vector<float> latency_ms;    // of served requests, from their due time
     };
     std::vector<RouteCounters> by_route;
+    // Results of one caller's requests; `rejected`: its last attempt got 429 or 503.
+    struct CallerCounters {
+        std::uint64_t due = 0, served = 0, rejected = 0, failed = 0;
+        int gateway = -1;    // of its last attempt
+    };
+    std::vector<CallerCounters> by_caller;
+    std::map<int, std::uint64_t> attempts_by_status;    // 0: no answer
     struct SecondCounters {
         std::uint64_t due = 0, served = 0, rejected = 0, failed = 0;
     };
@@ -97,6 +112,8 @@
         std::vector<RoutePlan> routes;
         std::vector<TenantPlan> tenants;
         std::vector<std::string> zones;
+        // Empty: any request may use any idle connection in its zone.
+        std::vector<CallerPlan> callers = {};
         double new_connection_fraction = 0.2;    // part of the requests that open a connection
         std::uint64_t seed = 1;
     };
@@ -111,7 +128,7 @@
 private:
     class Connection;
     struct PendingRequest {
-        std::size_t route = 0, tenant = 0;
+        std::size_t route = 0, tenant = 0, caller = 0;
         std::string zone, target, body, id;
         TimePoint due_at{}, deadline{};
         std::size_t second_index = 0;
@@ -122,7 +139,8 @@
     };
     void on_request_due(std::size_t route);
     void send_attempt(PendingRequest& request, bool new_connection);
-    Connection* find_idle_connection(const std::string& zone);
+    void draw_sender(PendingRequest& request);
+    Connection* find_idle_connection(const PendingRequest& request);
     Connection* open_connection(PendingRequest& request);
     void write_request(PendingRequest& request, Connection& connection);
     void on_answer(Connection& connection);
@@ -140,6 +158,8 @@
     std::list<std::unique_ptr<Connection>> connections_;    // most recently used last
     std::list<std::unique_ptr<PendingRequest>> pending_requests_;
     std::vector<Timers::Id> arrival_timers_;
+    std::discrete_distribution<std::size_t> tenant_distribution_;
+    std::vector<std::vector<std::size_t>> callers_by_tenant_;
     double load_factor_ = 1.0;
     TimePoint started_at_{};
     std::uint64_t last_request_number_ = 0;
--- a/testbed/system/fixture.h
+++ b/testbed/system/fixture.h
@@ -41,6 +41,7 @@
     std::vector<ServicePlan> services;
     std::vector<RoutePlan> routes;
     std::vector<TenantPlan> tenants;
+    std::vector<CallerPlan> callers = {};                      // see Clients
     double new_connection_fraction = 0.2;                      // see Clients
     std::map<std::string, std::string> extra_settings = {};    // override lines of the settings file
 };
@@ -69,6 +70,10 @@
     void freeze_node(const std::string& node);      // SIGSTOP
     void unfreeze_node(const std::string& node);    // SIGCONT
     void wipe_disk(const std::string& node);        // of a node that does not run
+    // SIGTERM, without a wait for the end: is_running() tells.
+    void signal_stop(const std::string& node);
+    // SIGHUP, after the settings file was written anew.
+    void reload_settings(const std::string& node);
     void restart_node(const std::string& node) {
         kill_node(node);
         start_node(node);
@@ -77,6 +82,8 @@
     // Nodes that ended by themselves since the start.
     std::vector<std::string> unexpectedly_ended();
     std::string log_text(const std::string& node) const;    // of all its processes so far
+    // The metrics of all gateways that answer in time, by node.
+    std::map<std::string, std::string> gateway_metrics(double timeout_seconds = 2.0);
     // Of all processes of a node so far; the memory is the largest peak.
     struct ResourceUsage {
         double cpu_seconds = 0.0, peak_mb = 0.0;
@@ -131,6 +138,8 @@
     void stop_load(double timeout_seconds = 12.0);    // returns when all requests are answered
     ClientStatistics client_statistics();
     Board::Breaches violations();
+    // When requests of each tenant were executed by servers, since the start.
+    std::map<std::string, std::vector<TimePoint>> executions_by_tenant();
     // Statistics since the load began, violations of the rules, and resources of the processes.
     nlohmann::json make_report();
     // Waits; throws std::runtime_error after SIGINT or SIGTERM.
@@ -158,6 +167,7 @@
     GatewaySelector::GatewayEndpoint endpoint_of(const Machine& machine) const;
     void update_control_addresses();    // passes them to servers and operators after a delay
     double run_until_done(const std::function<void(std::function<void(bool)>)>& begin);
+    std::filesystem::path write_settings(const Node& target_node) const;
     void launch_process(Node& target_node);
     CommandResult call_control_api(const std::string& method, const std::string& path,
                                    const std::string& body, double timeout_seconds);
@@ -171,6 +181,7 @@
     // Used on the reactor's thread only; in the order of their dependencies.
     HttpCalls calls_{reactor_};
     Board scoreboard_;
+    std::map<std::string, std::vector<TimePoint>> executions_by_tenant_;
     std::unique_ptr<ControlClient> control_client_;
     std::unique_ptr<OperatorGroup> operators_;
     std::unique_ptr<GatewaySelector> gateway_selector_;
--- a/testbed/system/scoreboard.cpp
+++ b/testbed/system/scoreboard.cpp
@@ -30,6 +30,7 @@
     }
     Known& known = it->second;
     ++known.runs;
+    if (on_execution_) on_execution_(std::string(tenant));
     const Try& t = known.what;
     if (t.method != method || t.target != target || t.body != body) ++seen_.unasked;
     if (t.tenant != tenant) ++seen_.wrong_tenant;
--- a/testbed/system/scoreboard.h
+++ b/testbed/system/scoreboard.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -35,6 +36,11 @@
         }
     };
 
+    // Called for each execution of what a client sent, with the tenant for which the server was told to run
+    // it.
+    using ExecutionObserver = std::function<void(const std::string& tenant)>;
+    void set_execution_observer(ExecutionObserver observer) { on_execution_ = std::move(observer); }
+
     // Called by clients, before an attempt is sent.
     void sent(const std::string& id, Try what);
     // Requests to `service` may also run at `instead`, after a change of the configuration.
@@ -68,6 +74,7 @@
     std::map<std::string, std::set<std::string>> allowed_;
     Breaches seen_;
     std::uint64_t runs_ = 0;
+    ExecutionObserver on_execution_;
 };
 
 nlohmann::json to_json(const Board::Breaches& violations);
