Keep four members in a set down to two units each, and test sets that change

Need: a tenant with a set of one or two members loses all or half of its quota with one of them, until it is back or 20 s later. Change: sets grow to four members where each holds two units at least; beyond, four units each as before. Tests: all gateways agree on the members; shares of gateways that know a part only sum up to one; who joins a set starts with nothing, who leaves it drops its units, a set that grows waits for 10 s; a member that is down costs a request one time-out.

--- a/src/cluster/quota/gateway_sets.cpp
+++ b/src/cluster/quota/gateway_sets.cpp
@@ -13,6 +13,9 @@
 constexpr std::uint64_t kGroups = 256;
 // A member of a set holds so many units at least: some requests at a time, beside one that comes.
 constexpr double kMinUnitsPerMember = 4.0;
+// Sets of a few members would lose too large a part of a quota with one of them, so these make do with less.
+constexpr std::size_t kFewMembers = 4;
+constexpr double kMinUnitsPerMemberOfFew = 2.0;
 constexpr std::uint32_t kNoRank = std::numeric_limits<std::uint32_t>::max();
 
 std::uint64_t group_of(std::uint64_t tenant) { return tenant % kGroups; }
@@ -26,9 +29,12 @@
 
 SetSizeClass set_size_class(double full_capacity) {
     SetSizeClass result = 0;
-    while (result < kMaxSetSizeClass &&
-           static_cast<double>(set_size(result + 1)) * kMinUnitsPerMember <= full_capacity)
+    while (result < kMaxSetSizeClass) {
+        const std::size_t next_size = set_size(result + 1);
+        const double min_units = next_size <= kFewMembers ? kMinUnitsPerMemberOfFew : kMinUnitsPerMember;
+        if (static_cast<double>(next_size) * min_units > full_capacity) break;
         ++result;
+    }
     return result;
 }
 
--- /dev/null
+++ b/tests/cluster/quota/gateway_sets_test.cpp
@@ -0,0 +1,194 @@
+// Which gateways hold a tenant's units, and what happens to them when gateways come and go.
+#include "cluster/quota/gateway_sets.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+#include "cluster/quota/message.h"
+#include "cluster/quota/quota_balancer.h"
+#include "cluster/quota/refill_clocks.h"
+
+using namespace std::chrono_literals;
+using namespace shaletray;
+using namespace shaletray::quota;
+
+namespace {
+
+std::vector<std::string> make_addresses(std::size_t count) {
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; i < count; ++i) addresses.push_back("10.1." + std::to_string(1000 + i));
+    return addresses;
+}
+
+std::vector<std::string> without(std::vector<std::string> addresses, const std::string& address) {
+    std::erase(addresses, address);
+    return addresses;
+}
+
+const Quota kQuota{10, 10};    // sets of four members, among eight gateways
+const std::string kTenant = "tenant";
+
+// A gateway that holds the lease, and the others that it may know.
+struct Fixture {
+    explicit Fixture(std::string own_address) : self(std::move(own_address)), balancer(make_balancer()) {
+        set_gateways(addresses);
+        now += 60s;
+        set_gateways(addresses);
+    }
+    QuotaBalancer make_balancer() {
+        Settings settings;
+        settings.self = self;
+        settings.incarnation = 1;
+        QuotaBalancer result(settings, now);
+        result.set_quotas({{kTenant, kQuota}}, now);
+        return result;
+    }
+    void set_gateways(const std::vector<std::string>& ring) {
+        balancer.set_peers({.ring = ring,
+                            .divisor = static_cast<std::uint32_t>(ring.size()),
+                            .refill_until = now + 1h,
+                            .sharers = {}},
+                           now);
+    }
+    double units() const { return balancer.available_units(kTenant, now); }
+
+    std::vector<std::string> addresses = make_addresses(8);
+    TimePoint now{1'000s};
+    std::string self;
+    QuotaBalancer balancer;
+};
+
+constexpr SetSizeClass kFour = 2;
+
+std::vector<std::string> members_among(const std::vector<std::string>& addresses) {
+    GatewaySets sets(addresses.front());
+    sets.set_gateways(addresses);
+    return sets.members(tenant_id(kTenant), kFour);
+}
+
+std::string outsider_among(const std::vector<std::string>& addresses) {
+    const std::vector<std::string> members = members_among(addresses);
+    return *std::find_if(addresses.begin(), addresses.end(), [&](const std::string& address) {
+        return std::find(members.begin(), members.end(), address) == members.end();
+    });
+}
+
+// The addresses that the actions' messages go to.
+std::vector<std::string> receivers_of(const Actions& actions) {
+    std::vector<std::string> receivers;
+    for (const Actions::Send& send : actions.sends) receivers.push_back(send.to);
+    return receivers;
+}
+
+}    // namespace
+
+Test(gateway_sets, all_gateways_agree_on_exactly_the_members) {
+    for (const std::size_t count : {1, 3, 13, 90}) {
+        const std::vector<std::string> addresses = make_addresses(count);
+        for (const std::uint64_t tenant : {tenant_id("a"), tenant_id("b"), tenant_id("c")}) {
+            for (SetSizeClass size_class = 0; size_class <= kMaxSetSizeClass; ++size_class) {
+                std::vector<std::string> by_themselves, by_first;
+                for (const std::string& address : addresses) {
+                    GatewaySets sets(address);
+                    cr_assert(sets.set_gateways(addresses) && !sets.set_gateways(addresses));
+                    if (sets.is_member(tenant, size_class)) by_themselves.push_back(address);
+                    if (by_first.empty()) by_first = sets.members(tenant, size_class);
+                }
+                cr_assert(by_themselves == by_first);
+                cr_assert_eq(by_first.size(), std::min(count, set_size(size_class)));
+            }
+        }
+    }
+}
+
+Test(gateway_sets, each_member_holds_some_whole_units) {
+    cr_expect_eq(set_size_class(1.0), 0);
+    cr_expect_eq(set_size_class(4.0), 1);
+    cr_expect_eq(set_size_class(10.0), 2);
+    cr_expect_eq(set_size_class(32.0), 3);
+    cr_expect_eq(set_size_class(1e6), kMaxSetSizeClass);
+    for (double capacity = 4.0; capacity < 1000.0; capacity *= 1.1)
+        cr_expect_geq(capacity / static_cast<double>(set_size(set_size_class(capacity))), 2.0);
+}
+
+// Two groups of gateways that know nothing of each other, but by the divisor how many there are.
+Test(gateway_sets, shares_of_gateways_that_know_a_part_sum_up_to_one) {
+    const std::vector<std::string> addresses = make_addresses(90);
+    for (const std::size_t part : {std::size_t{1}, std::size_t{7}, std::size_t{40}}) {
+        for (SetSizeClass size_class = 0; size_class <= kMaxSetSizeClass; ++size_class) {
+            double sum = 0.0;
+            for (std::size_t i = 0; i < addresses.size(); ++i) {
+                const auto middle = addresses.begin() + static_cast<std::ptrdiff_t>(part);
+                const std::vector<std::string> known(i < part ? addresses.begin() : middle,
+                                                     i < part ? middle : addresses.end());
+                GatewaySets sets(addresses[i]);
+                sets.set_gateways(known);
+                if (sets.is_member(tenant_id(kTenant), size_class))
+                    sum += RefillClocks::member_share(90, known.size(), size_class);
+            }
+            cr_expect_float_eq(sum, 1.0, 1e-9);
+        }
+    }
+}
+
+Test(gateway_sets, who_joins_a_set_starts_with_nothing_and_who_leaves_it_drops_its_units) {
+    const std::vector<std::string> addresses = make_addresses(8);
+    const std::vector<std::string> members = members_among(addresses);
+    const double full = (10.0 + 0.5 * (0.1 * 60.0 + 20.0)) / 4.0;
+    for (const std::string& address : addresses) {
+        Fixture gateway(address);
+        const bool is_member = std::find(members.begin(), members.end(), address) != members.end();
+        cr_assert_float_eq(gateway.units(), is_member ? full : 0.0, 1e-6);
+    }
+    // A member is gone: another gateway joins, and refills from there.
+    const std::vector<std::string> fewer = without(addresses, members.front());
+    const std::vector<std::string> new_members = members_among(fewer);
+    const auto joined = std::find_if(new_members.begin(), new_members.end(), [&](const std::string& address) {
+        return std::find(members.begin(), members.end(), address) == members.end();
+    });
+    cr_assert(joined != new_members.end());
+    Fixture gateway(*joined);
+    gateway.set_gateways(fewer);
+    cr_assert_eq(gateway.units(), 0.0);
+    gateway.now += 200ms;
+    cr_assert_float_eq(gateway.units(), 0.2 * 10.0 / 4.0, 1e-6);
+    // It comes back.
+    gateway.set_gateways(addresses);
+    cr_assert_eq(gateway.units(), 0.0);
+}
+
+Test(gateway_sets, new_members_of_a_set_that_grows_wait_for_those_with_the_old_configuration) {
+    const std::vector<std::string> addresses = make_addresses(8);
+    Fixture gateway(outsider_among(addresses));
+    gateway.balancer.set_quotas({{kTenant, {100, 100}}}, gateway.now);    // all eight are members
+    gateway.now += 9900ms;
+    cr_assert_eq(gateway.units(), 0.0);
+    gateway.now += 200ms;
+    cr_assert_float_eq(gateway.units(), 0.1 * 100.0 / 8.0, 1e-6);
+}
+
+Test(gateway_sets, a_member_that_is_down_costs_a_request_one_time_out) {
+    const std::vector<std::string> addresses = make_addresses(8);
+    const std::vector<std::string> members = members_among(addresses);
+    Fixture outside(outsider_among(addresses));
+    Duration retry_after{};
+    cr_assert(outside.balancer.request_unit(kTenant, 250ms, outside.now, retry_after) ==
+              AdmissionDecision::Queued);
+    outside.balancer.adjust_queued(kTenant, 1);
+    Actions first, second;
+    outside.balancer.tick(outside.now, first);
+    cr_assert_eq(first.sends.size(), 1u);    // who does not answer
+    outside.now += 31ms;
+    outside.balancer.tick(outside.now, second);
+    cr_assert_eq(second.sends.size(), 1u);
+    cr_assert(receivers_of(first) != receivers_of(second));
+    Fixture member(second.sends.front().to);
+    Actions answer, woken;
+    member.balancer.on_message(outside.self, second.sends.front().bytes, outside.now, answer);
+    cr_assert(receivers_of(answer) == std::vector<std::string>{outside.self});
+    outside.balancer.on_message(member.self, answer.sends.front().bytes, outside.now, woken);
+    cr_assert(woken.replenished_tenants == std::vector<std::string>{kTenant});
+    cr_assert(outside.balancer.request_unit(kTenant, 0ms, outside.now, retry_after) ==
+              AdmissionDecision::Granted);
+}
