Tell a disk that hangs under a soak, and print a soak's events

Change: the soak measures syncs and fails a run above 1 s for that; make soak puts disks into a file system in memory where there is one; events and the programs' log level are printed and chosen.

--- a/testbed/soak/soak.cpp
+++ b/testbed/soak/soak.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 
 #include "gateway_fixture.h"
+#include "soak/disk_probe.h"
 #include "soak/soak_checks.h"
 #include "soak/soak_plan.h"
 
@@ -22,6 +23,7 @@
 constexpr double kStopTimeout = 8.0;      // beyond the grace period of 6 s a process is killed
 constexpr int kOperators = 2;
 constexpr double kMinServedShare = 0.5;
+constexpr double kMaxSync = 1.0;    // seconds: below bounds.contact, after which quorums are lost
 
 // Carries out the events, and starts again what has ended by them.
 class EventPlayer {
@@ -48,6 +50,7 @@
     };
 
     void begin_event(const SoakEvent& event, double now) {
+        fmt::print("{:6.2f} s: {}\n", now, describe(event));
         if (event.kind == SoakEvent::Kind::ReplaceServer) return replace_server(event.service);
         if (pending_.contains(event.node)) {
             // It is on its way down or stands still: a second signal may come, another fate may not.
@@ -138,6 +141,7 @@
     install_signal_handlers();
     const SystemPlan plan = make_soak_system(options, program_directory);
     SystemFixture fixture(plan);
+    const DiskProbe disk_probe(fixture.directory() / "probe");
     fmt::print("seed {}: {} gateways, {} controllers, {} tenants, {:.0f} s\n", options.seed, options.gateways,
                options.controllers, options.tenants, options.seconds);
     std::fflush(stdout);
@@ -158,6 +162,9 @@
     print_tenants(results);
 
     Expectations expectations;
+    const double longest_sync = disk_probe.longest_sync();
+    expectations.expect(longest_sync <= kMaxSync,
+                        fmt::format("the disk took {:.1f} s for a sync: the run says little", longest_sync));
     const double share = all.due == 0 ? 0.0 : static_cast<double>(all.served) / static_cast<double>(all.due);
     expectations.expect(share >= kMinServedShare, fmt::format("{:.3f} of all requests were served", share));
     for (const TenantResult& tenant : starved)
@@ -171,10 +178,12 @@
     const Json violations = to_json(fixture.violations());
     for (const auto& [rule, count] : violations.items())
         expectations.expect(count == 0, fmt::format("{}: {}", rule, count.get<std::uint64_t>()));
-    Json report = {{"seed", options.seed},       {"due", all.due},         {"served", all.served},
-                   {"rejected", all.rejected},   {"failed", all.failed},   {"share", share},
-                   {"starved", starved.size()},  {"quota_excess", excess}, {"events", player.played()},
-                   {"attempts", Json::object()}, {"gateways", metrics}};
+    Json report = {{"seed", options.seed},           {"due", all.due},
+                   {"served", all.served},           {"rejected", all.rejected},
+                   {"failed", all.failed},           {"share", share},
+                   {"starved", starved.size()},      {"quota_excess", excess},
+                   {"longest_sync_s", longest_sync}, {"events", player.played()},
+                   {"attempts", Json::object()},     {"gateways", metrics}};
     for (const auto& [status, count] : statistics.attempts_by_status)
         report["attempts"][std::to_string(status)] = count;
     fixture.stop_all();
@@ -200,6 +209,8 @@
         ->check(CLI::Range(0.1, 100.0));
     app.add_option("--quota-slack", options.quota_slack, "units on top of each quota")
         ->check(CLI::Range(0.0, 1000.0));
+    app.add_option("--log-level", options.log_level, "of the system's programs")
+        ->check(CLI::IsMember({"error", "warning", "info", "debug"}));
     app.add_flag("--quiet", options.quiet, "no signals, restarts and changes");
     CLI11_PARSE(app, argc, argv);
     try {
--- a/testbed/soak/soak_plan.cpp
+++ b/testbed/soak/soak_plan.cpp
@@ -72,12 +72,24 @@
 
 }    // namespace
 
+std::string describe(const SoakEvent& event) {
+    switch (event.kind) {
+        case SoakEvent::Kind::Stop: return "SIGTERM to " + event.node;
+        case SoakEvent::Kind::Kill: return "SIGKILL to " + event.node;
+        case SoakEvent::Kind::Reload: return "SIGHUP to " + event.node;
+        case SoakEvent::Kind::Freeze: return fmt::format("{} frozen for {:.2f} s", event.node, event.pause);
+        case SoakEvent::Kind::ReplaceServer: return "a server of " + event.service + " replaced";
+    }
+    return {};
+}
+
 SystemPlan make_soak_system(const SoakOptions& options, const std::string& program_directory) {
     SystemPlan plan;
     plan.name = "soak";
     plan.program_directory = program_directory;
     plan.seed = options.seed;
     plan.new_connection_fraction = 0.0;
+    plan.log_level = options.log_level;
     plan.extra_settings["bounds.quota_slack"] = fmt::format("{}", options.quota_slack);
     for (int m = 0; m < options.gateways; ++m) {
         const bool has_controller = m < options.controllers;
--- a/testbed/soak/soak_plan.h
+++ b/testbed/soak/soak_plan.h
@@ -21,6 +21,7 @@
     double quota_headroom = 1.6;          // a tenant's rate, divided by what its callers send
     double quota_slack = 20.0;            // units; see bounds.quota_slack
     bool quiet = false;                   // no signals, restarts and changes
+    std::string log_level = "info";       // of the system's programs
 };
 
 // Something that happens to the system's processes or to servers. Several overlap.
@@ -39,6 +40,8 @@
     double pause = 0.0;     // seconds until the new start, or until SIGCONT
 };
 
+// One line: what happens to what.
+std::string describe(const SoakEvent& event);
 // Five zones. Tenants differ in size; each has callers at some gateways, and a quota above what they send.
 // The last tenant sends nothing: the operators' changes alter its quota.
 SystemPlan make_soak_system(const SoakOptions& options, const std::string& program_directory);
--- a/testbed/system/fixture.h
+++ b/testbed/system/fixture.h
@@ -44,6 +44,7 @@
     std::vector<CallerPlan> callers = {};                      // see Clients
     double new_connection_fraction = 0.2;                      // see Clients
     std::map<std::string, std::string> extra_settings = {};    // override lines of the settings file
+    std::string log_level = "info";                            // of the system's programs
 };
 // Three zones and four services; the first `controller_count` machines have a controller, all have a gateway.
 SystemPlan make_small_system(const std::string& name, const std::string& program_directory,
@@ -142,6 +143,8 @@
     std::map<std::string, std::vector<TimePoint>> executions_by_tenant();
     // Statistics since the load began, violations of the rules, and resources of the processes.
     nlohmann::json make_report();
+    // Where all disks and logs are.
+    const std::filesystem::path& directory() const { return directory_; }
     // Waits; throws std::runtime_error after SIGINT or SIGTERM.
     void run_for(double seconds);
 
--- a/testbed/system/fixture_processes.cpp
+++ b/testbed/system/fixture_processes.cpp
@@ -196,7 +196,7 @@
         program =
             std::filesystem::path(plan_.program_directory) / "system" / target_node.role / target_node.role;
     target_node.process = std::make_unique<Process>(
-        std::vector<std::string>{program.string()},
+        std::vector<std::string>{program.string(), "--log_level=" + plan_.log_level},
         std::map<std::string, std::string>{{"SHALETRAY_BOOT", file.string()}}, target_node.log_path);
     ++target_node.start_count;
     target_node.should_run = true;
--- a/tools/ci/run_soak.sh
+++ b/tools/ci/run_soak.sh
@@ -7,6 +7,15 @@
 build=$1
 shift
 
+# All machines of a soak share one disk, and one that hangs stops every controller at once, as no deployment
+# does. So their disks are in memory where there is a file system for that.
+memory=$(df --type=tmpfs --output=target 2> /dev/null | grep -x '/dev/.*' | head -1 || true)
+if [ -n "$memory" ] && [ -w "$memory" ]; then
+  TMPDIR=$(mktemp -d "$memory/soak.XXXXXX")
+  export TMPDIR
+  trap 'rm -rf "$TMPDIR"' EXIT
+fi
+
 status=0
 for seed in "$@"; do
   # Small quotas, so that a gateway's part of them is small, as it is on hundreds of gateways.
