Grant moved units outside of a tenant's set without a lease

Change: the lease is the right to refill. Who is outside of a set refills nothing, and what members have moved there is theirs until it ends, so that no lease is asked for. Members grant and move only with a lease, as before. What members hold is estimated by the known gateways until there is a divisor.

--- a/src/cluster/quota/balancing_messages.cpp
+++ b/src/cluster/quota/balancing_messages.cpp
@@ -262,7 +262,7 @@
     const TransferOrigin origin = origin_of(message);
     const bool accepted = message.echoed_incarnation == settings_.incarnation &&
                           origin.echo_delay <= kMaxEchoDelay && origin.echoed_time <= now &&
-                          now - origin.sent_at() <= kMaxTransferAge && refill_clocks_.is_running(now);
+                          now - origin.sent_at() <= kMaxTransferAge && may_grant(bucket, now);
     if (!accepted) {
         ++statistics_.expired_transfers;
         return;
--- a/src/cluster/quota/quota_balancer.cpp
+++ b/src/cluster/quota/quota_balancer.cpp
@@ -151,8 +151,9 @@
     for (std::size_t i = 0; i < old_shares.size(); ++i) {
         const auto size_class = static_cast<SetSizeClass>(i);
         old_shares[i] = refill_clocks_[size_class].share();
+        if (divisor == 0 || old_shares[i] == 0.0) continue;
         const double new_share = RefillClocks::member_share(divisor, sets_.gateway_count(), size_class);
-        if (divisor == 0 || old_shares[i] == 0.0 || new_share == old_shares[i]) continue;
+        if (new_share == old_shares[i]) continue;
         share_changes = true;
         if (new_share > old_shares[i]) limits_.on_share_increase(size_class, old_shares[i], refill_clocks_);
     }
@@ -180,7 +181,7 @@
 
 void QuotaBalancer::Impl::wake_queued(TenantBucket& bucket, TimePoint now, Actions& actions) {
     if (bucket.queued <= 0 || bucket.name.empty() || !bucket.has_unit()) return;
-    if (now < bucket.last_wakeup + kWakeInterval || !refill_clocks_.is_running(now)) return;
+    if (now < bucket.last_wakeup + kWakeInterval || !may_grant(bucket, now)) return;
     bucket.last_wakeup = now;
     actions.replenished_tenants.push_back(bucket.name);
 }
--- a/src/cluster/quota/quota_balancer.h
+++ b/src/cluster/quota/quota_balancer.h
@@ -9,7 +9,9 @@
 // caller
 //   takes as the divisor the largest number of gateways that any known gateway divides by. Who knows fewer
 //   gateways refills less, in proportion.
-// - An incarnation starts with empty buckets and refills only while its lease is confirmed. What a tenant
+// - An incarnation starts with empty buckets and refills only while its lease is confirmed. Outside of a set
+// no
+//   lease is needed: what members have moved here is theirs until it ends. What a tenant
 //   refills depends on that time alone, whether its bucket exists or not: one that is created for the first
 //   time, or again after it was erased when full, has as much as if it had always existed. So has a tenant
 //   that comes with a later configuration: no other gateway counts on this one's share of it, and what an
--- a/src/cluster/quota/quota_balancer_impl.h
+++ b/src/cluster/quota/quota_balancer_impl.h
@@ -61,6 +61,11 @@
     const RefillClock& clock_of(const TenantBucket& bucket) const {
         return refill_clocks_[bucket.set_size_class];
     }
+    // A member of a set grants only what it may refill. Others grant what members have moved to them, for
+    // which they need no lease of their own: members count it as theirs until it ends.
+    bool may_grant(const TenantBucket& bucket, TimePoint now) const {
+        return !bucket.in_set || refill_clocks_.is_running(now);
+    }
     void advance_bucket(TenantBucket& bucket) { bucket.advance_to(clock_of(bucket)); }
     void advance_to(TimePoint now);
     void advance_all_buckets();
--- a/src/cluster/quota/refill_clock.cpp
+++ b/src/cluster/quota/refill_clock.cpp
@@ -13,11 +13,17 @@
     current_time_ = now;
 }
 
-void RefillClock::set_share(double share, TimePoint deadline, TimePoint now) {
+void RefillClock::start(double share, TimePoint deadline, TimePoint now) {
     advance(now);
-    running_ = share > 0.0;
+    running_ = true;
     refill_until_ = deadline;
-    if (running_) share_ = share;
+    share_ = share;
+}
+
+void RefillClock::stop(double share, TimePoint now) {
+    advance(now);
+    running_ = false;
+    share_ = share;
 }
 
 double RefillClock::integral_at(TimePoint time) const {
--- a/src/cluster/quota/refill_clock.h
+++ b/src/cluster/quota/refill_clock.h
@@ -13,15 +13,17 @@
 
     // Moves on to `now`. An earlier time is ignored.
     void advance(TimePoint now);
-    // From `now` until `deadline`, refill runs at this part of the rate. A share of 0 stops the refill.
-    void set_share(double share, TimePoint deadline, TimePoint now);
+    // From `now` until `deadline`, refill runs at this part of the rate.
+    void start(double share, TimePoint deadline, TimePoint now);
+    // No refill from `now` on. `share` is what a member would refill.
+    void stop(double share, TimePoint now);
 
     // Whether refill is allowed at `now`.
     bool is_running(TimePoint now) const { return running_ && now < refill_until_; }
     double integral() const { return integral_; }
     // The integral at `time`, which lies between the last change of the share and the current time.
     double integral_at(TimePoint time) const;
-    // The share as last known, also while refill is stopped; 0 where it was never known.
+    // The share as last known, also while refill is stopped; 0 at first.
     double share() const { return share_; }
     TimePoint refill_until() const { return refill_until_; }
     TimePoint current_time() const { return current_time_; }
--- a/src/cluster/quota/refill_clocks.cpp
+++ b/src/cluster/quota/refill_clocks.cpp
@@ -20,15 +20,18 @@
 }
 
 double RefillClocks::member_share(std::uint32_t divisor, std::size_t known, SetSizeClass size_class) {
-    if (divisor == 0) return 0.0;
     const auto known_gateways = std::clamp(static_cast<double>(known), 1.0, static_cast<double>(divisor));
     const double members = std::min(known_gateways, static_cast<double>(set_size(size_class)));
     return known_gateways / divisor / members;
 }
 
 void RefillClocks::set_divisor(std::uint32_t divisor, std::size_t known, TimePoint deadline, TimePoint now) {
-    for (std::size_t i = 0; i < clocks_.size(); ++i)
-        clocks_[i].set_share(member_share(divisor, known, static_cast<SetSizeClass>(i)), deadline, now);
+    const auto known_divisor = static_cast<std::uint32_t>(std::max<std::size_t>(1, known));
+    for (std::size_t i = 0; i < clocks_.size(); ++i) {
+        const auto size_class = static_cast<SetSizeClass>(i);
+        if (divisor > 0) clocks_[i].start(member_share(divisor, known, size_class), deadline, now);
+        else clocks_[i].stop(member_share(known_divisor, known, size_class), now);
+    }
 }
 
 }    // namespace shaletray::quota
--- a/src/cluster/quota/refill_clocks.h
+++ b/src/cluster/quota/refill_clocks.h
@@ -21,14 +21,14 @@
 
     void advance(TimePoint now);
     // From `now` until `deadline`, by a quota divisor of `divisor` gateways of which `known` are known, at
-    // most as many. A divisor of 0 stops the refill.
+    // most as many. A divisor of 0 stops the refill; what members hold is then estimated by `known`.
     void set_divisor(std::uint32_t divisor, std::size_t known, TimePoint deadline, TimePoint now);
 
     const RefillClock& operator[](SetSizeClass size_class) const { return clocks_[size_class]; }
     bool is_running(TimePoint now) const { return clocks_.front().is_running(now); }
     TimePoint refill_until() const { return clocks_.front().refill_until(); }
     TimePoint current_time() const { return clocks_.front().current_time(); }
-    // The share of a set's member after set_divisor() with these; 0 for a divisor of 0.
+    // The share of a set's member by these. `divisor`: at least 1.
     static double member_share(std::uint32_t divisor, std::size_t known, SetSizeClass size_class);
 
 private:
--- a/src/cluster/quota/request_admission.cpp
+++ b/src/cluster/quota/request_admission.cpp
@@ -39,7 +39,7 @@
     if (bucket.name.empty()) bucket.name = tenant;
     bucket.demand = bucket.demand * std::max(0.0, 1.0 - seconds(now - bucket.last_used)) + 1.0;
     bucket.last_used = now;
-    if (!refill_clocks_.is_running(now)) {
+    if (!may_grant(bucket, now)) {
         ++statistics_.rejected_without_lease;
         return reject(kUnavailableRetryAfter, retry_after);
     }
--- a/tests/cluster/quota/gateway_sets_test.cpp
+++ b/tests/cluster/quota/gateway_sets_test.cpp
@@ -168,6 +168,41 @@
     cr_assert_float_eq(gateway.units(), 0.1 * 100.0 / 8.0, 1e-6);
 }
 
+// Callers stay with a gateway that has just started, or that hears no controller, as their connections are
+// kept.
+Test(gateway_sets, who_is_outside_of_a_set_grants_without_a_lease) {
+    const std::vector<std::string> addresses = make_addresses(8);
+    Fixture outside(outsider_among(addresses));
+    outside.balancer = outside.make_balancer();    // a later start, and no quorum since
+    outside.balancer.set_peers({.ring = addresses, .divisor = 0, .refill_until = {}, .sharers = {}},
+                               outside.now);
+    outside.now += 400ms;
+    Duration retry_after{};
+    cr_assert(outside.balancer.request_unit(kTenant, 250ms, outside.now, retry_after) ==
+              AdmissionDecision::Queued);
+    outside.balancer.adjust_queued(kTenant, 1);
+    Actions request, answer, woken;
+    outside.balancer.tick(outside.now, request);
+    cr_assert_eq(request.sends.size(), 1u);
+    Fixture member(request.sends.front().to);
+    member.balancer.on_message(outside.self, request.sends.front().bytes, outside.now, answer);
+    outside.balancer.on_message(member.self, answer.sends.front().bytes, outside.now, woken);
+    cr_assert(woken.replenished_tenants == std::vector<std::string>{kTenant});
+    cr_assert(outside.balancer.request_unit(kTenant, 0ms, outside.now, retry_after) ==
+              AdmissionDecision::Granted);
+    // A member without a lease grants nothing and moves nothing.
+    Fixture idle_member(request.sends.front().to);
+    idle_member.balancer.set_peers({.ring = addresses, .divisor = 0, .refill_until = {}, .sharers = {}},
+                                   idle_member.now);
+    Actions empty_answer;
+    idle_member.balancer.on_message(outside.self, request.sends.front().bytes, outside.now, empty_answer);
+    cr_assert(idle_member.balancer.request_unit(kTenant, 250ms, outside.now, retry_after) ==
+              AdmissionDecision::Rejected);
+    outside.balancer.on_message(idle_member.self, empty_answer.sends.front().bytes, outside.now, woken);
+    cr_assert(outside.balancer.request_unit(kTenant, 0ms, outside.now, retry_after) !=
+              AdmissionDecision::Granted);
+}
+
 Test(gateway_sets, a_member_that_is_down_costs_a_request_one_time_out) {
     const std::vector<std::string> addresses = make_addresses(8);
     const std::vector<std::string> members = members_among(addresses);
