Collect the neighbours that may be asked in one place, for members and for others

Cause: the loop over neighbours stood twice, in request_admission.cpp and in unit_requests.cpp, and so did the rounding error. Change: collect_candidates serves both; kRoundingError stands in transfer_estimates.h.

--- a/src/cluster/quota/quota_balancer_impl.h
+++ b/src/cluster/quota/quota_balancer_impl.h
@@ -92,6 +92,7 @@
     Duration reserve_retry_slot(TenantBucket& bucket, Duration until_refilled, TimePoint now);
     void wake_queued(TenantBucket& bucket, TimePoint now, Actions& actions);
     void plan_requests(TenantBucket& bucket, TimePoint now);
+    double collect_candidates(const TenantBucket& bucket, TimePoint now, RequestCandidates& candidates) const;
     void plan_requests_to_neighbours(TenantBucket& bucket, TimePoint now);
 
     // Requests of gateways outside of a set.
--- a/src/cluster/quota/request_admission.cpp
+++ b/src/cluster/quota/request_admission.cpp
@@ -131,22 +131,32 @@
     }
 }
 
-// While requests are queued, the neighbours with most units are asked: as few as cover the need if one of
-// them fails.
-void QuotaBalancer::Impl::plan_requests_to_neighbours(TenantBucket& bucket, TimePoint now) {
-    double needed_units = bucket.queued - bucket.total_units();
-    if (needed_units <= 0.0) return;
-    RequestCandidates candidates;
+// Adds the neighbours that may be asked. Returns the units for which others were asked and have not answered.
+double QuotaBalancer::Impl::collect_candidates(const TenantBucket& bucket, TimePoint now,
+                                               RequestCandidates& candidates) const {
+    const RefillClock& clock = clock_of(bucket);
+    double outstanding = 0.0;
     for (std::size_t index = 0; index < bucket.neighbour_count; ++index) {
         const NeighbourState& state = bucket.neighbours[index];
         if (state.awaits_reply(now)) {
-            needed_units -= state.outstanding_request;
+            outstanding += state.outstanding_request;
             continue;
         }
-        const double obtainable =
-            obtainable_units(bucket, state, bucket.available_units(), clock_of(bucket), now);
+        const double obtainable = bucket.in_set
+                                      ? obtainable_units(bucket, state, bucket.available_units(), clock, now)
+                                      : requestable_units(bucket, state, clock, now);
         if (obtainable > 0.0) candidates.insert({obtainable, index});
     }
+    return outstanding;
+}
+
+// While requests are queued, the neighbours with most units are asked: as few as cover the need if one of
+// them fails.
+void QuotaBalancer::Impl::plan_requests_to_neighbours(TenantBucket& bucket, TimePoint now) {
+    double needed_units = bucket.queued - bucket.total_units();
+    if (needed_units <= 0.0) return;
+    RequestCandidates candidates;
+    needed_units -= collect_candidates(bucket, now, candidates);
     if (needed_units <= 0.0 || candidates.count == 0) return;
 
     const double largest = candidates.items[0].obtainable;
--- a/src/cluster/quota/transfer_estimates.cpp
+++ b/src/cluster/quota/transfer_estimates.cpp
@@ -10,8 +10,6 @@
 
 // Eight steps from empty to full: fine enough to balance, and few enough messages.
 constexpr double kStepsPerBucket = 8.0;
-// Sums of refills may fall short of a whole unit by so much.
-constexpr double kRoundingError = 1e-9;
 
 // A neighbour's weight among those that may transfer to us.
 double transfer_weight(const TenantBucket& bucket, const NeighbourState& state, const RefillClock& clock,
--- a/src/cluster/quota/transfer_estimates.h
+++ b/src/cluster/quota/transfer_estimates.h
@@ -6,6 +6,9 @@
 
 namespace shaletray::quota {
 
+// Sums of refills may fall short of a whole unit by so much.
+constexpr double kRoundingError = 1e-9;
+
 // The rate at which each member of the tenant's set refills its part of the quota, in units per second.
 double refill_rate(const TenantBucket& bucket, const RefillClock& clock);
 // The step in which units are moved: a small part of the bucket, at most a whole unit.
--- a/src/cluster/quota/unit_requests.cpp
+++ b/src/cluster/quota/unit_requests.cpp
@@ -12,12 +12,6 @@
 #include "cluster/quota/transfer_estimates.h"
 
 namespace shaletray::quota {
-namespace {
-
-// Sums of refills may fall short of a whole unit by so much.
-constexpr double kRoundingError = 1e-9;
-
-}    // namespace
 
 // A member that did not answer in time may be down: it counts as empty, and is asked again when it would have
 // refilled a unit.
@@ -34,15 +28,7 @@
     give_up_unanswered(bucket, now);
     double needed_units = std::ceil(bucket.queued - bucket.total_units() - kRoundingError);
     RequestCandidates candidates;
-    for (std::size_t index = 0; index < bucket.neighbour_count; ++index) {
-        const NeighbourState& state = bucket.neighbours[index];
-        if (state.awaits_reply(now)) {
-            needed_units -= state.outstanding_request;
-            continue;
-        }
-        const double requestable = requestable_units(bucket, state, clock_of(bucket), now);
-        if (requestable >= 1.0) candidates.insert({requestable, index});
-    }
+    needed_units -= collect_candidates(bucket, now, candidates);
     for (std::size_t i = 0; i < candidates.count && needed_units >= 1.0; ++i) {
         const RequestCandidate& candidate = candidates.items[i];
         NeighbourState& state = bucket.neighbours[candidate.neighbour_index];
