Make the routes of the soak and of the small system in one place

Cause: the same builder stood in small_system.cpp and in soak_plan.cpp. Change: make_route, declared in fixture.h, serves both. The plans are the same.

--- a/testbed/soak/soak_plan.cpp
+++ b/testbed/soak/soak_plan.cpp
@@ -18,28 +18,13 @@
 // Each server carries this many requests a second at most, of which it takes part of them at once.
 constexpr double kRequestsPerServer = 60.0;
 constexpr int kMinServersPerService = 4;
+constexpr std::size_t kBodySize = 200;    // bytes, of requests that must not be repeated
 // Series of events: one begins in each of these steps, in seconds, and has up to so many events.
 constexpr double kSeriesInterval = 4.0, kFirstSeriesAt = 2.0;
 constexpr int kMaxSeriesLength = 6;
 // Seconds without new events at the end, in which a system that works serves everybody again.
 constexpr double kCalmEnd = 8.0;
 
-RoutePlan make_route(const std::string& name, const std::string& service, bool is_repeatable, double rate,
-                     Duration latency_target, Duration deadline) {
-    RoutePlan route;
-    route.name = name;
-    route.host = name + ".example";
-    route.prefix = "/" + name + "/";
-    route.service = service;
-    route.is_repeatable = is_repeatable;
-    route.rate = rate;
-    route.latency_target = latency_target;
-    route.deadline = deadline;
-    route.attempt_timeout = deadline * 2;
-    route.body_size = is_repeatable ? 0 : 200;
-    return route;
-}
-
 void add_tenants(const SoakOptions& options, SystemPlan& plan) {
     const double total_rate = options.requests_per_gateway * options.gateways;
     double total_weight = 0.0;
@@ -100,9 +85,9 @@
     const int server_count =
         std::max(kMinServersPerService, static_cast<int>(std::ceil(total_rate / 2.0 / kRequestsPerServer)));
     plan.services = {{"lookups", server_count, 6, 1900, 40ms}, {"trades", server_count, 6, 1900, 60ms}};
-    plan.routes = {make_route("read", "lookups", true, total_rate * 0.6, 500ms, 1200ms),
-                   make_route("trade", "trades", false, total_rate * 0.25, 600ms, 1500ms),
-                   make_route("save", "trades", false, total_rate * 0.15, 300ms, 800ms)};
+    plan.routes = {make_route("read", "lookups", true, total_rate * 0.6, 500ms, 1200ms, 0),
+                   make_route("trade", "trades", false, total_rate * 0.25, 600ms, 1500ms, kBodySize),
+                   make_route("save", "trades", false, total_rate * 0.15, 300ms, 800ms, kBodySize)};
     std::mt19937_64 random(options.seed);
     add_tenants(options, plan);
     add_callers(options, random, plan);
--- a/testbed/system/fixture.h
+++ b/testbed/system/fixture.h
@@ -46,6 +46,9 @@
     std::map<std::string, std::string> extra_settings = {};    // override lines of the settings file
     std::string log_level = "info";                            // of the system's programs
 };
+// A route of its own host and path prefix, whose attempts may take twice as long as its clients wait.
+RoutePlan make_route(const std::string& name, const std::string& service, bool is_repeatable, double rate,
+                     Duration latency_target, Duration deadline, std::size_t body_size);
 // Three zones and four services; the first `controller_count` machines have a controller, all have a gateway.
 SystemPlan make_small_system(const std::string& name, const std::string& program_directory,
                              std::uint64_t seed, int machine_count, int controller_count);
--- a/testbed/system/small_system.cpp
+++ b/testbed/system/small_system.cpp
@@ -6,6 +6,22 @@
 
 using namespace std::chrono_literals;
 
+RoutePlan make_route(const std::string& name, const std::string& service, bool is_repeatable, double rate,
+                     Duration latency_target, Duration deadline, std::size_t body_size) {
+    RoutePlan route;
+    route.name = name;
+    route.host = fmt::format("{}.example", name);
+    route.prefix = fmt::format("/{}/", name);
+    route.service = service;
+    route.is_repeatable = is_repeatable;
+    route.rate = rate;
+    route.latency_target = latency_target;
+    route.deadline = deadline;
+    route.attempt_timeout = deadline * 2;
+    route.body_size = body_size;
+    return route;
+}
+
 SystemPlan make_small_system(const std::string& name, const std::string& program_directory,
                              std::uint64_t seed, int machine_count, int controller_count) {
     SystemPlan plan{.name = name,
@@ -23,25 +39,10 @@
                      {"approvals", 6, 6, 130, 290ms},
                      {"payouts", 6, 6, 130, 150ms},
                      {"archive", 9, 6, 130, 880ms}};
-    const auto route = [](const char* of, const char* service, bool repeatable, double rate, Duration aim,
-                          Duration deadline, std::size_t body) {
-        RoutePlan r;
-        r.name = of;
-        r.host = fmt::format("{}.example", of);
-        r.prefix = fmt::format("/{}/", of);
-        r.service = service;
-        r.is_repeatable = repeatable;
-        r.rate = rate;
-        r.latency_target = aim;
-        r.deadline = deadline;
-        r.attempt_timeout = deadline * 2;
-        r.body_size = body;
-        return r;
-    };
-    plan.routes = {route("read", "lookups", true, 97, 600ms, 2500ms, 0),
-                   route("approve", "approvals", false, 45, 800ms, 3000ms, 400),
-                   route("pay", "payouts", false, 36, 500ms, 2000ms, 200),
-                   route("past", "archive", true, 27, 2500ms, 10000ms, 0)};
+    plan.routes = {make_route("read", "lookups", true, 97, 600ms, 2500ms, 0),
+                   make_route("approve", "approvals", false, 45, 800ms, 3000ms, 400),
+                   make_route("pay", "payouts", false, 36, 500ms, 2000ms, 200),
+                   make_route("past", "archive", true, 27, 2500ms, 10000ms, 0)};
     for (int t = 0; t < 8; ++t)
         plan.tenants.push_back({fmt::format("tenant{}", t), fmt::format("key{}{:x}", t, seed * 7919 + 12345),
                                 t < 2 ? 4.0 : 1.0, t < 2 ? 150.0 : 60.0, t < 2 ? 150.0 : 60.0, 1});
