Count misdirected requests by reason, and serve metrics at a port of the command line

Need: a server's 421 has two reasons, an old list of servers and a key that it does not hold; neither log nor metric told them apart, so two hypotheses of the incident could not be separated. The controllers told no metrics at all.

--- a/src/base/runtime/command_line.cpp
+++ b/src/base/runtime/command_line.cpp
@@ -15,6 +15,7 @@
 
 DEFINE_string(settings, "", "the settings file; without it SHALETRAY_BOOT names it");
 DEFINE_string(log_level, "info", "error, warning, info or debug");
+DEFINE_int32(metrics_port, 0, "the port of this node's address at which GET /metrics is served; 0: none");
 DEFINE_bool(check, false, "check the settings file, say what is wrong with it, and end");
 
 namespace shaletray::runtime {
@@ -26,6 +27,8 @@
 // The file is read every few seconds: while it is invalid, it is logged only so often.
 constexpr std::chrono::seconds kRejectionLogInterval(60);
 
+constexpr int kMaxPort = 65535;
+
 // Prints why the process cannot start; its exit status.
 int report_failure(const std::string& reason) {
     std::fprintf(stderr, "%s\n", reason.c_str());
@@ -55,6 +58,8 @@
     if (argc > 1) return report_failure(std::string("not understood: ") + argv[1]);
     if (!set_log_level(std::string_view(FLAGS_log_level)))
         return report_failure("--log_level: must be error, warning, info or debug");
+    if (FLAGS_metrics_port < 0 || FLAGS_metrics_port > kMaxPort)
+        return report_failure("--metrics_port: must be a port, or 0");
     Startup startup;
     startup.settings_path = settings_path();
     if (startup.settings_path.empty())
@@ -63,6 +68,9 @@
         [&]() -> leaf::result<std::variant<Startup, int>> {
             BOOST_LEAF_ASSIGN(startup.settings_text, read_file(startup.settings_path));
             BOOST_LEAF_ASSIGN(startup.settings, parse_node_settings(startup.settings_text));
+            if (FLAGS_metrics_port > 0)
+                startup.settings.metrics_address =
+                    startup.settings.ip + ":" + std::to_string(FLAGS_metrics_port);
             if (!FLAGS_check) return startup;
             std::printf("%s: good\n", startup.settings_path.c_str());
             return EXIT_SUCCESS;
--- a/src/base/runtime/command_line.h
+++ b/src/base/runtime/command_line.h
@@ -1,5 +1,5 @@
 // The command line of the system's programs, by gflags: --settings FILE (or the environment variable
-// SHALETRAY_BOOT), --log_level LEVEL, --check, --version, --help.
+// SHALETRAY_BOOT), --log_level LEVEL, --metrics_port PORT, --check, --version, --help.
 #pragma once
 
 #include <boost/leaf/result.hpp>
--- a/src/base/runtime/settings_file.h
+++ b/src/base/runtime/settings_file.h
@@ -44,8 +44,9 @@
     std::string node_name, role, ip, zone, region;
     std::map<std::string, std::string> region_by_zone;
     std::string frontend_address, readiness_address, control_address;    // to listen on; empty: not served
-    std::uint16_t first_port = 0, last_port = 0;                         // range of internal ports
-    std::vector<std::string> seed_addresses;    // control addresses of machines that run controllers
+    std::string metrics_address;    // to listen on, by the command line's --metrics_port; empty: not served
+    std::uint16_t first_port = 0, last_port = 0;    // range of internal ports
+    std::vector<std::string> seed_addresses;        // control addresses of machines that run controllers
     bool bootstrap = false, quorum_member = false;
     double cpu_share = 1.0, memory_mb = 256.0;
     std::size_t max_open_files = 1024, disk_mb = 0;
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -97,6 +97,10 @@
     };
     call_server_ = std::make_unique<ApiServer>(reactor_, ApiServer::listen(settings_.control_address), limits,
                                                handle_call, control_api::max_body_size);
+    if (!settings_.metrics_address.empty())
+        metrics_server_ = serve_readiness(
+            reactor_, settings_.metrics_address, [this] { return consensus_.is_quorum_held(); },
+            [this] { return metrics_text(); });
     if (settings_.readiness_address.empty()) return;
     readiness_server_ = serve_readiness(reactor_, settings_.readiness_address,
                                         [this] { return consensus_.is_quorum_held(); });
@@ -249,4 +253,25 @@
         messages.dropped, messages.malformed, transport::describe_traffic(messages));
 }
 
+std::string Controller::metrics_text() const {
+    const CommandExecutor::Statistics& calls = commands_.statistics();
+    const consensus::LogEntry& entry = consensus_.committed_entry();
+    std::string text;
+    const auto append_value = [&text](std::string_view name, std::uint64_t value) {
+        text += fmt::format("controller_{} {}\n", name, value);
+    };
+    append_value("quorum_held", consensus_.is_quorum_held() ? 1 : 0);
+    append_value("quorum_losses_total", consensus_.quorum_loss_count());
+    append_value("entry_number", entry.number);
+    append_value("configuration_version", entry.version);
+    append_value("voters", entry.voters.size());
+    append_value("servers", distributor_.server_count());
+    append_value("gateways", distributor_.gateway_count());
+    append_value("heartbeats_total", calls.heartbeats);
+    append_value("deregistrations_total", calls.deregistrations);
+    append_value("replacements_total", calls.replacements);
+    append_value("failed_writes_total", consensus_.store().failed_writes());
+    return text;
+}
+
 }    // namespace shaletray::controller
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -39,6 +39,8 @@
     void reload_settings(const runtime::NodeSettings& settings);
     // "name=value" pairs, for the log.
     std::string counters_text() const;
+    // The same in the Prometheus text format, for GET /metrics at the metrics port.
+    std::string metrics_text() const;
 
 private:
     membership::Settings membership_settings() const;
@@ -69,7 +71,7 @@
     ConfigurationLoader loader_;
     VoterManager voter_manager_;
     CommandExecutor commands_;
-    std::unique_ptr<ApiServer> call_server_, readiness_server_;
+    std::unique_ptr<ApiServer> call_server_, readiness_server_, metrics_server_;
     Timers::Id tick_timer_ = 0;
     TimePoint next_tick_at_ = TimePoint::max();    // of tick_timer_
     TimePoint next_voter_check_{};
--- a/src/data_plane/proxy/server_connection.cpp
+++ b/src/data_plane/proxy/server_connection.cpp
@@ -112,6 +112,7 @@
     if (is_forwardable_ && state_ == State::Writing) return finish_malformed();
     const bool complete = state_ == State::Reading && input.size() == parser_.message_size();
     is_answered_ = true;
+    protocol_.on_response(exchange_, parser_, input);
     finish_exchange(protocol_.outcome_of(exchange_, parser_, input), complete && parser_.keep_alive());
 }
 
@@ -151,6 +152,7 @@
         case State::Reading:
             is_answered_ = stream_.is_ended() && head_examined_ && answer_match_ == AnswerMatch::Match &&
                            parser_.finish() == http::ParseStatus::Complete;
+            if (is_answered_) protocol_.on_response(exchange_, parser_, stream_.input_buffer());
             return finish_exchange(is_answered_
                                        ? protocol_.outcome_of(exchange_, parser_, stream_.input_buffer())
                                        : Outcome::Reset,
--- a/src/data_plane/proxy/upstream_protocol.h
+++ b/src/data_plane/proxy/upstream_protocol.h
@@ -47,6 +47,8 @@
                                 const http::Buffer& buffer) const {
         return outcome_of(exchange, parser, buffer) == Outcome::Ok;
     }
+    // Told once of each complete response, before its outcome is reported.
+    virtual void on_response(const ExchangeContext&, const http::Parser&, const http::Buffer&) const {}
     // Load figures that the response reports.
     virtual LoadReport load_report_of(const http::Parser&, const http::Buffer&) const { return {}; }
     // Status and headers for the client, with the body if `with_body`.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -69,6 +69,10 @@
         [this] { return ready(); });
     readiness_server_ = serve_readiness(
         reactor_, settings_.readiness_address, [this] { return ready(); }, [this] { return metrics_text(); });
+    if (!settings_.metrics_address.empty())
+        metrics_server_ = serve_readiness(
+            reactor_, settings_.metrics_address, [this] { return ready(); },
+            [this] { return metrics_text(); });
     log_event(LogLevel::Info, "gateway_started",
               {log_field("address", address_), log_field("incarnation", incarnation_),
                log_field("zone", settings_.zone)});
@@ -324,7 +328,8 @@
          .holds_quota_lease = had_lease_,
          .configuration_version = configuration_index ? configuration_index->config().version : 0,
          .quota_divisor = quota_lease_.quota_divisor(),
-         .known_gateways = known_gateway_count_});
+         .known_gateways = known_gateway_count_,
+         .misdirections = dispatcher_->pipelines().misdirections_by_service()});
 }
 
 std::string Gateway::counters_text() const {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -33,7 +33,7 @@
     void apply_settings(const runtime::NodeSettings& settings);
     // All counters as "name=value" pairs, for the log.
     std::string counters_text() const;
-    // All metrics, for GET /metrics at the readiness address.
+    // All metrics, for GET /metrics at the readiness address and at the metrics port.
     std::string metrics_text() const;
 
 private:
@@ -69,7 +69,7 @@
     std::unique_ptr<transport::ConnectionManager> connections_;
     std::unique_ptr<RequestDispatcher> dispatcher_;
     std::unique_ptr<ClientListener> listener_;
-    std::unique_ptr<ApiServer> readiness_server_;
+    std::unique_ptr<ApiServer> readiness_server_, metrics_server_;
     Timers::Id tick_timer_ = 0;
     TimePoint next_peer_update_{};
     TimePoint next_tick_at_{};      // of tick_timer_
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -31,6 +31,12 @@
     }
 }
 
+void append_misdirections(std::string& out, const std::string& service, std::string_view reason,
+                          std::uint64_t count) {
+    out += fmt::format("gateway_misdirected_total{{service=\"{}\",reason=\"{}\"}} {}\n",
+                       escape_label(service), reason, count);
+}
+
 }    // namespace
 
 std::string format_metrics(const MetricsSource& source) {
@@ -52,6 +58,10 @@
     append_value(out, "quota_units_received_total", source.quota.units_received);
     append_counts(out, "tenant", source.admissions.by_tenant());
     append_counts(out, "route", source.admissions.by_route());
+    for (const auto& [service, counts] : source.misdirections) {
+        append_misdirections(out, service, "other_instance", counts.other_instance);
+        append_misdirections(out, service, "key_not_held", counts.key_not_held);
+    }
     for (const auto& [tenant, units] : source.units)
         out += fmt::format("gateway_quota_units{{tenant=\"{}\"}} {}\n", escape_label(tenant), units);
     return out;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -6,6 +6,7 @@
 
 #include "cluster/quota/quota_balancer.h"
 #include "gateway/admission_statistics.h"
+#include "gateway/service_pipelines.h"
 
 namespace shaletray::gateway {
 
@@ -19,6 +20,7 @@
     std::uint64_t configuration_version = 0;
     std::uint32_t quota_divisor = 0;    // the number of gateways that share the quotas; 0: no lease
     std::size_t known_gateways = 0;     // not dead, this one included
+    std::map<std::string, ServicePipelines::MisdirectionCounts> misdirections = {};    // by service
 };
 
 std::string format_metrics(const MetricsSource& source);
--- a/src/gateway/http_mapping/headers.h
+++ b/src/gateway/http_mapping/headers.h
@@ -25,6 +25,9 @@
 // The answer where a server's own is missing or must not be passed on.
 inline constexpr int kBadGatewayStatus = 502;
 
+// A server does not run a request that names another instance, or a shard key that it does not hold.
+inline constexpr int kMisdirectedStatus = 421;
+
 // Headers of one connection only, and those that the sender on the next connection writes itself.
 inline constexpr std::string_view kHopByHopHeaders[] = {
     "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
--- a/src/gateway/http_mapping/upstream_codec.cpp
+++ b/src/gateway/http_mapping/upstream_codec.cpp
@@ -17,7 +17,7 @@
 
 // To a client, these say that its request has not been executed and never will be.
 bool promises_not_executed(int status) {
-    return status == 408 || status == 421 || status == 429 || status == 503;
+    return status == 408 || status == kMisdirectedStatus || status == 429 || status == 503;
 }
 
 }    // namespace
@@ -47,11 +47,23 @@
                                   const http::Buffer& buffer) const {
     const int status = parser.status_code();
     if (status >= 200 && status < 300) return Outcome::Ok;
-    if (status == 421 || parser.header_count(buffer, kNotExecutedHeader) > 0) return Outcome::Full;
+    if (status == kMisdirectedStatus || parser.header_count(buffer, kNotExecutedHeader) > 0)
+        return Outcome::Full;
     // A server's own 4xx is an answer like any other.
     return status >= 500 || promises_not_executed(status) ? Outcome::Error : Outcome::Ok;
 }
 
+// A server that is another instance than the one named says so by its id.
+void UpstreamCodec::on_response(const ExchangeContext& request, const http::Parser& parser,
+                                const http::Buffer& buffer) const {
+    if (!on_misdirected_ || request.is_health_check || parser.status_code() != kMisdirectedStatus) return;
+    const std::string_view instance = parser.header(buffer, kInstanceIdHeader);
+    const std::optional<Target> target = target_of_(request.host);
+    const bool is_other = !instance.empty() && target && instance != target->id;
+    on_misdirected_(request.host,
+                    is_other ? MisdirectionReason::OtherInstance : MisdirectionReason::KeyNotHeld);
+}
+
 AnswerMatch UpstreamCodec::match_answer(const ExchangeContext& request, const http::Parser& parser,
                                         const http::Buffer& buffer) const {
     if (request.is_health_check) {    // the answer has to come from the instance that was asked
--- a/src/gateway/http_mapping/upstream_codec.h
+++ b/src/gateway/http_mapping/upstream_codec.h
@@ -12,6 +12,12 @@
 
 namespace shaletray::http_mapping {
 
+// Why a server answered 421 (Misdirected Request).
+enum class MisdirectionReason {
+    OtherInstance,    // it is not the instance that the request named: the list of servers is old
+    KeyNotHeld,       // it is, and does not hold the request's shard key
+};
+
 // Writes requests and health checks to the servers of all services, and reads their answers. Stateless, but
 // for the lookup of hosts.
 class UpstreamCodec final : public UpstreamProtocol {
@@ -21,9 +27,12 @@
         std::string id;              // of the instance, as the server states it
         std::string health_check;    // path
     };
-    // `target_of` returns nothing for a host that isn't known any more.
-    explicit UpstreamCodec(std::function<std::optional<Target>(HostId)> target_of)
-        : target_of_(std::move(target_of)) {}
+    using MisdirectionObserver = std::function<void(HostId, MisdirectionReason)>;
+    // `target_of` returns nothing for a host that isn't known any more. `on_misdirected` is called once for
+    // each 421 of a server.
+    explicit UpstreamCodec(std::function<std::optional<Target>(HostId)> target_of,
+                           MisdirectionObserver on_misdirected = {})
+        : target_of_(std::move(target_of)), on_misdirected_(std::move(on_misdirected)) {}
 
     std::string write_request(const Payload& request, HostId host, Duration time_left) const override;
     std::string write_health_check(HostId host, std::string_view address) const override;
@@ -31,12 +40,15 @@
                              const http::Buffer& buffer) const override;
     Outcome outcome_of(const ExchangeContext& request, const http::Parser& parser,
                        const http::Buffer& buffer) const override;
+    void on_response(const ExchangeContext& request, const http::Parser& parser,
+                     const http::Buffer& buffer) const override;
     Payload answer_of(const http::Parser& parser, const http::Buffer& buffer, bool with_body) const override;
     std::optional<Duration> server_idle_timeout(const http::Parser& parser,
                                                 const http::Buffer& buffer) const override;
 
 private:
     std::function<std::optional<Target>(HostId)> target_of_;
+    MisdirectionObserver on_misdirected_;
 };
 
 }    // namespace shaletray::http_mapping
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -52,6 +52,7 @@
     // Answers every request that has no answer yet.
     void abandon_all();
 
+    const ServicePipelines& pipelines() const { return pipelines_; }
     std::size_t pending_count() const { return pending_.size(); }
     struct Statistics {
         std::uint64_t granted = 0;
--- a/src/gateway/service_pipelines.cpp
+++ b/src/gateway/service_pipelines.cpp
@@ -63,7 +63,9 @@
       counters_(counters),
       hosts_(hosts),
       random_(random),
-      codec_([this](HostId host) { return target_of(host); }),
+      codec_(
+          [this](HostId host) { return target_of(host); },
+          [this](HostId host, http_mapping::MisdirectionReason reason) { count_misdirection(host, reason); }),
       connection_budget_(settings.max_server_connections) {}
 
 std::optional<http_mapping::UpstreamCodec::Target> ServicePipelines::target_of(HostId host) const {
@@ -74,6 +76,14 @@
         *id, health_check == health_checks_.end() ? "/" : health_check->second};
 }
 
+void ServicePipelines::count_misdirection(HostId host, http_mapping::MisdirectionReason reason) {
+    const std::string* const service = hosts_.service_of(host);
+    if (service == nullptr) return;
+    MisdirectionCounts& counts = misdirections_by_service_[*service];
+    ++(reason == http_mapping::MisdirectionReason::OtherInstance ? counts.other_instance
+                                                                 : counts.key_not_held);
+}
+
 decision::Settings ServicePipelines::initial_engine_settings() const {
     decision::Settings settings;
     settings.gateways = static_cast<int>(std::max<std::uint32_t>(1, gateway_count_));
--- a/src/gateway/service_pipelines.h
+++ b/src/gateway/service_pipelines.h
@@ -1,6 +1,7 @@
 // One engine with its connection pool for each service, set up by the configuration.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -64,8 +65,16 @@
     // The number of gateways that share the retry budget and the servers.
     void set_gateway_count(std::uint32_t count);
     void abandon_all_requests();
+    // Answers with status 421 so far, by reason.
+    struct MisdirectionCounts {
+        std::uint64_t other_instance = 0, key_not_held = 0;
+    };
+    const std::map<std::string, MisdirectionCounts>& misdirections_by_service() const {
+        return misdirections_by_service_;
+    }
 
 private:
+    void count_misdirection(HostId host, http_mapping::MisdirectionReason reason);
     std::optional<http_mapping::UpstreamCodec::Target> target_of(HostId host) const;
     decision::Settings initial_engine_settings() const;
     void set_classes(ServicePipeline& pipeline) const;
@@ -84,6 +93,7 @@
     std::unordered_map<std::string, std::vector<const configuration::Route*>> routes_by_service_;
     std::unordered_map<std::string, std::string> health_checks_;    // paths, by service
     std::unordered_map<std::string, std::unique_ptr<ServicePipeline>> pipelines_;
+    std::map<std::string, MisdirectionCounts> misdirections_by_service_;
     std::uint32_t gateway_count_ = 1;
 };
 
--- a/tests/gateway/gateway_metrics_test.cpp
+++ b/tests/gateway/gateway_metrics_test.cpp
@@ -49,3 +49,16 @@
     cr_expect(admissions.by_tenant().size() == AdmissionStatistics::kMaxNames + 1);
     cr_expect(admissions.by_tenant().at("other")[0] == AdmissionStatistics::kMaxNames + 1);
 }
+
+Test(gateway_metrics, tell_why_servers_turned_requests_away) {
+    const std::string zone = "north";
+    const AdmissionStatistics admissions;
+    const std::map<std::string, double> units;
+    const std::string text = format_metrics({.zone = zone,
+                                             .admissions = admissions,
+                                             .quota = {},
+                                             .units = units,
+                                             .misdirections = {{"saves", {2, 7}}}});
+    cr_expect(contains(text, R"(gateway_misdirected_total{service="saves",reason="other_instance"} 2)"));
+    cr_expect(contains(text, R"(gateway_misdirected_total{service="saves",reason="key_not_held"} 7)"));
+}
--- a/tests/gateway/http_mapping/request_mapper_test.cpp
+++ b/tests/gateway/http_mapping/request_mapper_test.cpp
@@ -204,6 +204,21 @@
     cr_assert(outcome("204", "") == Outcome::Ok);
 }
 
+Test(upstream_codec, tells_an_old_list_of_servers_from_a_key_that_is_not_held) {
+    std::vector<MisdirectionReason> reasons;
+    const UpstreamCodec codec(
+        [](HostId) { return std::optional<UpstreamCodec::Target>({"i-7", "/health"}); },
+        [&](HostId, MisdirectionReason reason) { reasons.push_back(reason); });
+    for (const std::string headers : {"X-Instance-Id: i-8\r\n", "X-Instance-Id: i-7\r\n", ""}) {
+        const ParsedResponse response("HTTP/1.1 421 X\r\n" + headers + "Content-Length: 0\r\n\r\n");
+        codec.on_response(kSentRequest, response.parser, response.buffer);
+    }
+    const ParsedResponse other_status("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+    codec.on_response(kSentRequest, other_status.parser, other_status.buffer);
+    using enum MisdirectionReason;
+    cr_assert(reasons == std::vector<MisdirectionReason>({OtherInstance, KeyNotHeld, KeyNotHeld}));
+}
+
 Test(upstream_codec, forwards_status_and_headers_but_for_the_connections_own) {
     const ParsedResponse response(
         "HTTP/1.1 206 X\r\nX-Server-Seal: s\r\nConnection: close\r\nKeep-Alive: timeout=10\r\n"
