--- a/include/decision/control.h
+++ b/include/decision/control.h
@@ -121,6 +121,7 @@
     // The customer's gateway set: first index, and how many gateways share its quota.
     int first_gateway = 0;
     int width = 1;
+    HostId only_host{};    // the one that may run it; HostId{}: any
 };
 // How an attempt or probe ended. Full, ConnectFailed and NotSent: nothing of the request ran.
 enum class Outcome { Ok, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, NotSent };
--- a/src/base/runtime/setting_fields.cpp
+++ b/src/base/runtime/setting_fields.cpp
@@ -165,6 +165,7 @@
         {"bounds.retry_window", bound(&Bounds::retry_window)},
         {"bounds.quota_window", bound(&Bounds::quota_window)},
         {"bounds.recovery", bound(&Bounds::recovery)},
+        {"bounds.max_hold", bound(&Bounds::max_hold)},
         {"bounds.retry_budget_ratio", bound(&Bounds::retry_budget_ratio)},
         {"bounds.retry_slack", bound(&Bounds::retry_slack)},
         {"bounds.quota_overshoot", bound(&Bounds::quota_overshoot)},
--- a/src/base/runtime/settings_file.h
+++ b/src/base/runtime/settings_file.h
@@ -32,6 +32,7 @@
     Duration retry_window = std::chrono::seconds(10);
     Duration quota_window = std::chrono::seconds(5);
     Duration recovery = std::chrono::seconds(15);
+    Duration max_hold = std::chrono::seconds(10);
     bool revocation_global = false;
     double retry_budget_ratio = 0.2;
     double retry_slack = 0.0;
--- a/src/cluster/configuration/configuration.capnp
+++ b/src/cluster/configuration/configuration.capnp
@@ -46,6 +46,7 @@
   name @0 :Text;
   healthCheck @1 :Text;
   maxConnections @2 :Int32;
+  isSharded @3 :Bool;
 }
 
 struct Tenant {
--- a/src/cluster/configuration/configuration.h
+++ b/src/cluster/configuration/configuration.h
@@ -44,6 +44,7 @@
 struct Service {
     std::string name, health_check;
     int max_connections = 0;    // of one server, from all callers together; 0: not stated
+    bool is_sharded = false;    // each request has a shard key, and only the server that holds it runs it
     bool operator==(const Service&) const = default;
 };
 
--- a/src/cluster/configuration/entry_codec.cpp
+++ b/src/cluster/configuration/entry_codec.cpp
@@ -45,11 +45,13 @@
     builder.setName(runtime::text_reader_of(service.name));
     builder.setHealthCheck(runtime::text_reader_of(service.health_check));
     builder.setMaxConnections(service.max_connections);
+    builder.setIsSharded(service.is_sharded);
 }
 
 Service decode(wire::Service::Reader reader) {
     return {std::string(runtime::text_of(reader.getName())),
-            std::string(runtime::text_of(reader.getHealthCheck())), reader.getMaxConnections()};
+            std::string(runtime::text_of(reader.getHealthCheck())), reader.getMaxConnections(),
+            reader.getIsSharded()};
 }
 
 void encode(const Tenant& tenant, wire::Tenant::Builder builder) {
--- a/src/cluster/configuration/service_reader.h
+++ b/src/cluster/configuration/service_reader.h
@@ -18,6 +18,7 @@
 
     bool read_name(const boost::json::value& value, std::string_view field);
     bool read_health_check(const boost::json::value& value, std::string_view field);
+    bool read_is_sharded(const boost::json::value& value, std::string_view field);
     bool read_max_connections(const boost::json::value& value, std::string_view field);
 };
 
--- a/src/cluster/consensus/consensus.capnp
+++ b/src/cluster/consensus/consensus.capnp
@@ -23,6 +23,8 @@
   text @3 :Data;
   textOmitted @4 :Bool;  # the text is that of the entry of the same version that the reader already has
   earlierDigests @5 :List(Digest);  # of earlier versions; omitted where the reader can derive them
+  ownershipTable @6 :Data;          # who owns which shard keys
+  ownershipTableOmitted @7 :Bool;   # it is that of the entry that the reader already has
 }
 
 struct Digest {
--- a/src/cluster/consensus/message.cpp
+++ b/src/cluster/consensus/message.cpp
@@ -33,6 +33,10 @@
     return {reader.getRound(), copy_text(reader.getProposer())};
 }
 
+capnp::Data::Reader data_of(const std::string& bytes) {
+    return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
+}
+
 void write_fields(wire::LogEntry::Builder builder, const LogEntry& entry, bool with_text) {
     builder.setNumber(entry.number);
     builder.setVersion(entry.version);
@@ -47,10 +51,9 @@
         digests[i].setLow(entry.earlier_digests[i].low);
         digests[i].setHigh(entry.earlier_digests[i].high);
     }
-    if (with_text)
-        builder.setText(
-            capnp::Data::Reader(reinterpret_cast<const kj::byte*>(entry.text.data()), entry.text.size()));
+    if (with_text) builder.setText(data_of(entry.text));
     else builder.setTextOmitted(true);
+    if (!entry.ownership_table.empty()) builder.setOwnershipTable(data_of(entry.ownership_table));
 }
 
 LogEntry read_fields(wire::LogEntry::Reader reader) {
@@ -69,6 +72,8 @@
         entry.earlier_digests.push_back({digests[i].getVersion(), digests[i].getLow(), digests[i].getHigh()});
     const auto text = reader.getText();
     entry.text.assign(reinterpret_cast<const char*>(text.begin()), text.size());
+    const auto table = reader.getOwnershipTable();
+    entry.ownership_table.assign(reinterpret_cast<const char*>(table.begin()), table.size());
     return entry;
 }
 
@@ -144,10 +149,11 @@
 
 std::string encode(const Message& message) {
     const std::size_t text_size = message.entry && !message.text_omitted ? message.entry->text.size() : 0;
+    const std::size_t table_size = message.entry ? message.entry->ownership_table.size() : 0;
     const std::size_t voter_words = message.entry ? message.entry->voters.size() * kVoterWords : 0;
     const std::size_t digest_words = message.entry ? message.entry->earlier_digests.size() * kDigestWords : 0;
     const std::size_t expected_words =
-        kMessageWords + voter_words + digest_words + text_size / sizeof(capnp::word);
+        kMessageWords + voter_words + digest_words + (text_size + table_size) / sizeof(capnp::word);
     capnp::MallocMessageBuilder builder(static_cast<unsigned>(expected_words));
     auto root = builder.initRoot<wire::Message>();
     root.setKind(static_cast<wire::Kind>(message.kind));
@@ -158,7 +164,10 @@
     if (message.ballot.round != 0) write_fields(root.initBallot(), message.ballot);
     if (message.other_ballot.round != 0) write_fields(root.initOtherBallot(), message.other_ballot);
     root.setHasAcceptedEntry(message.has_accepted_entry);
-    if (message.entry) write_fields(root.initEntry(), *message.entry, !message.text_omitted);
+    if (message.entry) {
+        write_fields(root.initEntry(), *message.entry, !message.text_omitted);
+        root.getEntry().setOwnershipTableOmitted(message.ownership_table_omitted);
+    }
     return encode_checked(builder, expected_words);
 }
 
@@ -177,6 +186,7 @@
         decoded.has_accepted_entry = root.getHasAcceptedEntry();
         if (root.hasEntry()) {
             decoded.text_omitted = root.getEntry().getTextOmitted();
+            decoded.ownership_table_omitted = root.getEntry().getOwnershipTableOmitted();
             decoded.entry = read_fields(root.getEntry());
             KJ_REQUIRE(!decoded.entry->voters.empty(), "an entry without voters");
         }
--- a/src/cluster/consensus/message.h
+++ b/src/cluster/consensus/message.h
@@ -37,6 +37,7 @@
     bool has_accepted_entry = false;
     bool text_omitted = false;    // the entry's text is that of the receiver's entry of the same version
     std::optional<LogEntry> entry;
+    bool ownership_table_omitted = false;    // of the entry: the receiver's committed entry has the same
 };
 
 // Why bytes could not be decoded.
--- a/src/cluster/consensus/pending_work.h
+++ b/src/cluster/consensus/pending_work.h
@@ -52,6 +52,12 @@
     TimePoint deadline;
 };
 
+// A wanted change of the ownership table.
+struct OwnershipTableChange {
+    std::string current_table, new_table;
+    TimePoint deadline;
+};
+
 // One attempt, under one ballot, to have the next entry chosen.
 struct BallotRound {
     enum class Phase { Prepare, Accept };
--- a/src/cluster/consensus/persistent_state.h
+++ b/src/cluster/consensus/persistent_state.h
@@ -26,7 +26,8 @@
     auto operator<=>(const Digest&) const = default;
 };
 
-// One agreed value of the register: the complete configuration, and the voters that decide on the next entry.
+// One agreed value of the register: the complete configuration, the ownership table, and the voters that
+// decide on the next entry.
 struct LogEntry {
     std::uint64_t number = 0;         // 0: the initial entry, before anything was decided
     std::vector<Replica> voters{};    // sorted
@@ -34,6 +35,7 @@
     std::string text{};               // the configuration as the operator sent it
     // Of the preceding versions, ascending, at most kMaxEarlierDigests; a function of the preceding entry.
     std::vector<Digest> earlier_digests{};
+    std::string ownership_table{};    // as ownership::encode writes it; empty: no table yet
     bool operator==(const LogEntry&) const = default;
 };
 
--- a/src/cluster/consensus/register_description.cpp
+++ b/src/cluster/consensus/register_description.cpp
@@ -14,7 +14,8 @@
         (add_part(parts), ...);
     }
     void add_entry(const LogEntry& entry) {
-        add("entry", entry.number, entry.version, entry.text, entry.earlier_digests.size());
+        add("entry", entry.number, entry.version, entry.text, entry.earlier_digests.size(),
+            entry.ownership_table);
         for (const Replica& voter : entry.voters) add(voter.address, voter.disk_id);
     }
     void add_ballot(const char* name, const Ballot& ballot) { add(name, ballot.round, ballot.proposer); }
@@ -62,6 +63,7 @@
     if (voter_change_)
         for (const Replica& replica : voter_change_->new_voters)
             description.add("new_voter", replica.address, replica.disk_id);
+    if (table_change_) description.add("new_table", table_change_->new_table);
     if (round_) description.add_round(*round_);
     if (read_) {
         description.add("read", nonce_ - read_->nonce, read_->contention_deadline.has_value());
--- a/src/cluster/consensus/register_impl.cpp
+++ b/src/cluster/consensus/register_impl.cpp
@@ -71,6 +71,7 @@
     for (const Proposal& proposal : proposals_) consider(proposal.deadline);
     for (const PendingRead& read : pending_reads_) consider(read.deadline);
     if (voter_change_) consider(voter_change_->deadline);
+    if (table_change_) consider(table_change_->deadline);
     if (round_) consider(round_->retry.due_at);
     if (!round_ && next_instance() > 0 && needs_round()) consider(next_round_at_);
     if (read_) consider(read_->retry.due_at);
--- a/src/cluster/consensus/register_impl.h
+++ b/src/cluster/consensus/register_impl.h
@@ -38,6 +38,7 @@
     void propose(RequestId request_id, std::uint64_t version, std::string text, TimePoint deadline);
     void quorum_read(RequestId request_id, TimePoint deadline);
     void change_voters(std::vector<Replica> current_voters, std::vector<Replica> new_voters);
+    void change_ownership_table(std::string current_table, std::string new_table);
     void on_message(const std::string& from, const std::string& bytes);
     void on_stored(std::uint64_t token) { replies_.on_stored(token); }
     void set_peers(std::vector<std::string> addresses);
@@ -156,6 +157,7 @@
     std::vector<Proposal> proposals_;
     std::vector<PendingRead> pending_reads_;
     std::optional<VoterChange> voter_change_;
+    std::optional<OwnershipTableChange> table_change_;
 
     bool must_complete_accepted_ = false;    // a round is needed to finish what voters accepted from another
     bool must_confirm_ = false;              // the new voters are not known to have stored their entry yet
--- a/src/cluster/consensus/register_learner.cpp
+++ b/src/cluster/consensus/register_learner.cpp
@@ -23,6 +23,8 @@
     message.entry = entry;
     message.entry->earlier_digests.clear();
     if (message.text_omitted) message.entry->text.clear();
+    message.ownership_table_omitted = entry.ownership_table == state_.committed.ownership_table;
+    if (message.ownership_table_omitted) message.entry->ownership_table.clear();
 }
 
 // The complete entry of such a message; none where it cannot follow the committed entry.
@@ -31,6 +33,7 @@
     LogEntry entry = *message.entry;
     const LogEntry& current = state_.committed;
     if (message.text_omitted) entry.text = current.text;
+    if (message.ownership_table_omitted) entry.ownership_table = current.ownership_table;
     if (entry.version < current.version) return std::nullopt;
     if (entry.version == current.version && entry.text != current.text) return std::nullopt;
     entry.earlier_digests = digests_before(entry.version);
@@ -63,6 +66,8 @@
     next_round_at_ = now_;
     if (voter_change_ && voter_change_->current_voters != state_.committed.voters)
         voter_change_.reset();    // another change of the voters was chosen first
+    if (table_change_ && table_change_->current_table != state_.committed.ownership_table)
+        table_change_.reset();    // likewise of the table, or this one
     if (commit_broadcast_ && commit_broadcast_->next_instance < next_instance()) commit_broadcast_.reset();
 }
 
--- a/src/cluster/consensus/register_proposer.cpp
+++ b/src/cluster/consensus/register_proposer.cpp
@@ -85,13 +85,16 @@
     send_round_messages(voter_addresses());
 }
 
-// The highest version that is proposed here; without one, the wanted change of the voters, if any.
+// The highest version that is proposed here, and the wanted change of the ownership table; without either,
+// the wanted change of the voters, if any.
 std::optional<LogEntry> ReplicatedRegister::Impl::choose_entry() const {
     const Proposal* proposal = newest_proposal();
-    if (!proposal && !voter_change_) return std::nullopt;
+    if (!proposal && !table_change_ && !voter_change_) return std::nullopt;
+    const bool changes_voters = !proposal && !table_change_;
     LogEntry entry;
     entry.number = next_instance();
-    entry.voters = proposal ? state_.committed.voters : voter_change_->new_voters;
+    entry.voters = changes_voters ? voter_change_->new_voters : state_.committed.voters;
+    entry.ownership_table = table_change_ ? table_change_->new_table : state_.committed.ownership_table;
     entry.version = proposal ? proposal->version : state_.committed.version;
     entry.text = proposal ? proposal->text : state_.committed.text;
     entry.earlier_digests = digests_before(entry.version);
--- a/src/cluster/consensus/register_requests.cpp
+++ b/src/cluster/consensus/register_requests.cpp
@@ -34,6 +34,12 @@
     voter_change_ = VoterChange{std::move(current_voters), std::move(new_voters), deadline};
 }
 
+void ReplicatedRegister::Impl::change_ownership_table(std::string current_table, std::string new_table) {
+    if (current_table == new_table || current_table != state_.committed.ownership_table) return;
+    const TimePoint deadline = now_ + settings_.round_timeout * kVoterChangeRounds;
+    table_change_ = OwnershipTableChange{std::move(current_table), std::move(new_table), deadline};
+}
+
 void ReplicatedRegister::Impl::complete_request(RequestId request_id, Outcome outcome) {
     actions_->completions.push_back({request_id, outcome});
 }
@@ -64,6 +70,7 @@
     std::erase_if(proposals_, expire_if_late);
     std::erase_if(pending_reads_, expire_if_late);
     if (voter_change_ && now_ >= voter_change_->deadline) voter_change_.reset();
+    if (table_change_ && now_ >= table_change_->deadline) table_change_.reset();
 }
 
 Outcome ReplicatedRegister::Impl::proposal_outcome(const Proposal& proposal) const {
@@ -86,7 +93,7 @@
 }
 
 bool ReplicatedRegister::Impl::needs_round() const {
-    return must_complete_accepted_ || voter_change_ ||
+    return must_complete_accepted_ || voter_change_ || table_change_ ||
            std::any_of(proposals_.begin(), proposals_.end(),
                        [this](const Proposal& proposal) { return is_newer(proposal); });
 }
--- a/src/cluster/consensus/replicated_register.cpp
+++ b/src/cluster/consensus/replicated_register.cpp
@@ -33,6 +33,13 @@
     impl_->finish_call();
 }
 
+void ReplicatedRegister::change_ownership_table(std::string current_table, std::string new_table,
+                                                TimePoint now, Actions& actions) {
+    impl_->begin_call(now, actions);
+    impl_->change_ownership_table(std::move(current_table), std::move(new_table));
+    impl_->finish_call();
+}
+
 void ReplicatedRegister::on_message(const std::string& from, const std::string& bytes, TimePoint now,
                                     Actions& actions) {
     impl_->begin_call(now, actions);
--- a/src/cluster/consensus/replicated_register.h
+++ b/src/cluster/consensus/replicated_register.h
@@ -60,6 +60,11 @@
     // abandoned after twenty round timeouts.
     void change_voters(std::vector<Replica> current_voters, std::vector<Replica> new_voters, TimePoint now,
                        Actions& actions);
+    // Proposes to replace the ownership table, provided that it is still `current_table`. Abandoned once
+    // another table is chosen, and after twenty round timeouts. Replaces an earlier call that has not
+    // succeeded yet.
+    void change_ownership_table(std::string current_table, std::string new_table, TimePoint now,
+                                Actions& actions);
     // Takes a message; `from` is the internal address of the controller that sent it.
     void on_message(const std::string& from, const std::string& bytes, TimePoint now, Actions& actions);
     // Tells that the write with this token, and all before it, are on disk.
--- a/src/cluster/consensus/state_records.cpp
+++ b/src/cluster/consensus/state_records.cpp
@@ -54,6 +54,7 @@
     copy.voters = entry.voters;
     copy.version = entry.version;
     copy.earlier_digests = entry.earlier_digests;
+    copy.ownership_table = entry.ownership_table;
     return copy;
 }
 
--- a/src/cluster/registry/heartbeat.cpp
+++ b/src/cluster/registry/heartbeat.cpp
@@ -3,6 +3,9 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/value_to.hpp>
 #include <boost/leaf/error.hpp>
+#include <optional>
+#include <utility>
+#include <vector>
 
 #include "base/runtime/settings_file.h"
 #include "cluster/registry/service_registry.h"
@@ -152,6 +155,60 @@
     return server;
 }
 
+namespace {
+
+// A server cannot hold more ranges than its heartbeats' size permits.
+constexpr std::size_t kMaxHoldRows = 1024;
+constexpr std::size_t kHoldRowSize = 3;
+
+std::optional<ownership::Key> read_key(const json::value& value) {
+    boost::system::error_code error;
+    const auto key = value.is_number() ? value.to_number<std::int64_t>(error) : -1;
+    if (error || key < 0 || key >= std::int64_t{ownership::kKeyCount}) return std::nullopt;
+    return static_cast<ownership::Key>(key);
+}
+
+std::optional<ownership::KeyRange> read_range(const json::array& row) {
+    if (row.size() != kHoldRowSize) return std::nullopt;
+    const auto first = read_key(row[0]), last = read_key(row[1]);
+    if (!first || !last || *first > *last) return std::nullopt;
+    return ownership::KeyRange{*first, *last};
+}
+
+std::optional<ownership::HeldRange> read_held(const json::array& row) {
+    const auto keys = read_range(row);
+    if (!keys || !row[2].is_number()) return std::nullopt;
+    boost::system::error_code error;
+    const auto fence = row[2].to_number<std::uint64_t>(error);
+    if (error) return std::nullopt;
+    return ownership::HeldRange{*keys, fence};
+}
+
+std::optional<ownership::ReleasedRange> read_released(const json::array& row) {
+    const auto keys = read_range(row);
+    std::string handover;
+    if (!keys || !read_text(&row[2], handover, false)) return std::nullopt;
+    return ownership::ReleasedRange{*keys, std::move(handover)};
+}
+
+// Reads the rows that can be read; returns how many cannot.
+template <class Range, class ReadRow>
+std::size_t read_rows(const json::value* value, std::vector<Range>& ranges, const ReadRow& read_row) {
+    if (value == nullptr) return 0;
+    const json::array* const rows = value->if_array();
+    if (rows == nullptr || rows->size() > kMaxHoldRows) return 1;
+    std::size_t malformed = 0;
+    for (const json::value& row : *rows) {
+        const json::array* const cells = row.if_array();
+        std::optional<Range> range = cells == nullptr ? std::nullopt : read_row(*cells);
+        if (range) ranges.push_back(std::move(*range));
+        else ++malformed;
+    }
+    return malformed;
+}
+
+}    // namespace
+
 leaf::result<Heartbeat> parse_heartbeat(std::string_view id, std::string_view text) {
     if (id.empty() || id.size() > kMaxNameLength)
         return leaf::new_error(std::string("id: none, or too long"));
@@ -163,7 +220,12 @@
     auto server = json::try_value_to<Server>(body);
     if (!server) return leaf::new_error(server.error().message());
     server->id = std::string(id);
-    return Heartbeat{std::move(*server)};
+    Heartbeat heartbeat{std::move(*server)};
+    const json::object& fields = body.get_object();
+    heartbeat.malformed_rows = read_rows(find_field(fields, "held_duties"), heartbeat.holds.held, read_held);
+    heartbeat.malformed_rows +=
+        read_rows(find_field(fields, "released"), heartbeat.holds.released, read_released);
+    return heartbeat;
 }
 
 }    // namespace shaletray::registry
--- a/src/cluster/registry/service_registry.h
+++ b/src/cluster/registry/service_registry.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/common/clock.h"
+#include "cluster/ownership/ownership_table.h"
 
 namespace shaletray::registry {
 
@@ -40,6 +41,9 @@
 // A heartbeat of a server.
 struct Heartbeat {
     Server server;    // last_called_at is not set
+    // Of a server whose service divides its keys. Rows that are malformed are left out and counted.
+    ownership::HoldReport holds{};
+    std::size_t malformed_rows = 0;
 };
 // Parses the JSON body of a heartbeat; unknown fields are ignored. Error: std::string with field and reason.
 boost::leaf::result<Heartbeat> parse_heartbeat(std::string_view id, std::string_view text);
--- a/src/cluster/subscription/subscription.capnp
+++ b/src/cluster/subscription/subscription.capnp
@@ -18,6 +18,7 @@
   knownIncarnation @3 :UInt64;
   knownSequence @4 :UInt64;
   quotaDivisor @5 :UInt32;
+  ownershipVersion @6 :UInt64;
 }
 
 struct ControlUpdate {
@@ -29,4 +30,7 @@
   sinceSequence @5 :UInt64;
   sequence @6 :UInt64;
   endpointChanges @7 :Data;
+  ownershipVersion @8 :UInt64;
+  ownershipSince @9 :UInt64;
+  ownershipChanges @10 :Data;
 }
--- a/src/cluster/subscription/subscription.cpp
+++ b/src/cluster/subscription/subscription.cpp
@@ -19,6 +19,7 @@
     client_state.known_incarnation = reader.getKnownIncarnation();
     client_state.known_sequence = reader.getKnownSequence();
     client_state.quota_divisor = reader.getQuotaDivisor();
+    client_state.ownership_version = reader.getOwnershipVersion();
     return client_state;
 }
 
@@ -32,6 +33,9 @@
     update.since_sequence = reader.getSinceSequence();
     update.sequence = reader.getSequence();
     update.endpoint_changes = runtime::text_of(reader.getEndpointChanges());
+    update.ownership_version = reader.getOwnershipVersion();
+    update.ownership_since = reader.getOwnershipSince();
+    update.ownership_changes = runtime::text_of(reader.getOwnershipChanges());
     return update;
 }
 
@@ -46,11 +50,13 @@
     builder.setKnownIncarnation(client_state.known_incarnation);
     builder.setKnownSequence(client_state.known_sequence);
     builder.setQuotaDivisor(client_state.quota_divisor);
+    builder.setOwnershipVersion(client_state.ownership_version);
     return runtime::pack(message);
 }
 
 std::string encode(const ControlUpdate& update) {
-    const std::size_t data_bytes = update.configuration_delta.size() + update.endpoint_changes.size();
+    const std::size_t data_bytes =
+        update.configuration_delta.size() + update.endpoint_changes.size() + update.ownership_changes.size();
     capnp::MallocMessageBuilder message(
         static_cast<unsigned>(kFieldWords + data_bytes / sizeof(capnp::word)));
     auto builder = message.initRoot<wire::Message>().initControlUpdate();
@@ -64,6 +70,10 @@
     builder.setSequence(update.sequence);
     if (!update.endpoint_changes.empty())
         builder.setEndpointChanges(runtime::data_of(update.endpoint_changes));
+    builder.setOwnershipVersion(update.ownership_version);
+    builder.setOwnershipSince(update.ownership_since);
+    if (!update.ownership_changes.empty())
+        builder.setOwnershipChanges(runtime::data_of(update.ownership_changes));
     return runtime::pack(message);
 }
 
--- a/src/cluster/subscription/subscription.h
+++ b/src/cluster/subscription/subscription.h
@@ -20,6 +20,7 @@
     std::uint64_t known_incarnation = 0;      // the controller's when it was last heard from; 0: never
     std::uint64_t known_sequence = 0;         // all changes of that incarnation up to this one are known
     std::uint32_t quota_divisor = 0;          // number of gateways that quotas are divided by
+    std::uint64_t ownership_version = 0;      // of the owners of shard keys
     bool operator==(const ClientState&) const = default;
 };
 
@@ -39,6 +40,11 @@
     // before.
     std::uint64_t since_sequence = 0, sequence = 0;
     std::string endpoint_changes;
+    // The committed ownership table; `ownership_changes` is for ownership::OwnerMap and holds the rows that
+    // changed after `ownership_since`, empty where there are none. A gateway that knows less than that asks
+    // again.
+    std::uint64_t ownership_version = 0, ownership_since = 0;
+    std::string ownership_changes{};
     bool operator==(const ControlUpdate&) const = default;
 };
 
--- a/src/controller/api/control_command.h
+++ b/src/controller/api/control_command.h
@@ -39,7 +39,7 @@
 Response to_response(const CommandError& command_error);
 
 // Bytes of a body.
-constexpr std::size_t kMaxHeartbeatSize = 4 * 1024;
+constexpr std::size_t kMaxHeartbeatSize = 32 * 1024;    // with all ranges that a server may hold
 constexpr std::size_t kMaxConfigurationSize = 64 * 1024 * 1024;
 
 // Errors: CommandError: BadRequest for a malformed body or id, NotFound for an unknown path,
--- a/src/controller/api/response.cpp
+++ b/src/controller/api/response.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <chrono>
+#include <iterator>
 
 namespace shaletray::control_api {
 namespace {
@@ -40,6 +41,19 @@
     return {HttpStatus::Ok, fmt::format("{{\"heartbeat_target\":\"{}\"}}", heartbeat_target)};
 }
 
+Response call_accepted(std::string_view heartbeat_target, const std::vector<ownership::Assignment>& rows,
+                       Duration hold) {
+    std::string body = "{";
+    if (!heartbeat_target.empty())
+        fmt::format_to(std::back_inserter(body), "\"heartbeat_target\":\"{}\",", heartbeat_target);
+    body += "\"held_duties\":[";
+    for (const ownership::Assignment& row : rows)
+        fmt::format_to(std::back_inserter(body), "{}[{},{},{},\"{}\"]", &row == rows.data() ? "" : ",",
+                       row.keys.first, row.keys.last, row.fence, escape_json(row.handover));
+    fmt::format_to(std::back_inserter(body), "],\"hold\":\"{}ms\"}}", hold / 1ms);
+    return {HttpStatus::Ok, std::move(body)};
+}
+
 Response configuration_text(std::string text) { return {HttpStatus::Ok, std::move(text)}; }
 
 Response error(HttpStatus status, std::string_view message) {
--- a/src/controller/api/response.h
+++ b/src/controller/api/response.h
@@ -3,8 +3,10 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/common/clock.h"
+#include "cluster/ownership/ownership_table.h"
 
 namespace shaletray::control_api {
 
@@ -33,6 +35,10 @@
 // 200 to a server's call. `heartbeat_target` is the control address to which its next heartbeats are to go;
 // empty: any.
 Response call_accepted(std::string_view heartbeat_target);
+// The same to a server that owns keys: it may hold these rows for `hold` from its call's sending, and no
+// others.
+Response call_accepted(std::string_view heartbeat_target, const std::vector<ownership::Assignment>& rows,
+                       Duration hold);
 // 200 with the text of the configuration as it was sent.
 Response configuration_text(std::string text);
 // {"error":"..."}; control characters become blanks.
--- a/src/controller/command_executor.cpp
+++ b/src/controller/command_executor.cpp
@@ -18,6 +18,9 @@
 
 // In one turn of the event loop.
 constexpr int kMaxCommandsPerTurn = 64;
+// The answer to a server that leaves waits so long for the plan that gives its keys to others; together with
+// DepartureBarrier::kTimeout below the second after which it calls another controller.
+constexpr Duration kMaxPlanTime = 150ms;
 
 void send_response(ApiCaller& caller, Response response) {
     ApiReply reply;
@@ -65,16 +68,19 @@
 }    // namespace
 
 CommandExecutor::CommandExecutor(Reactor& reactor, ConsensusDriver& consensus, ConfigurationLoader& loader,
-                                 UpdateDistributor& distributor, std::string heartbeat_target)
+                                 UpdateDistributor& distributor, OwnershipCoordinator& ownership,
+                                 std::string heartbeat_target)
     : reactor_(reactor),
       consensus_(consensus),
       loader_(loader),
       distributor_(distributor),
+      ownership_(ownership),
       heartbeat_target_(std::move(heartbeat_target)) {}
 
 CommandExecutor::~CommandExecutor() {
     reactor_.cancel_timer(run_timer_);
     reactor_.cancel_timer(expiry_timer_);
+    reactor_.cancel_timer(plan_timer_);
 }
 
 void CommandExecutor::handle_call(const ApiCall& call, std::shared_ptr<ApiCaller> caller) {
@@ -115,38 +121,74 @@
 // A server that went to another controller each time would have its owner changed, and sent to all, each
 // time.
 void CommandExecutor::acknowledge_server_calls() {
-    const Response response = control_api::call_accepted(heartbeat_target_);
-    for (const Respond& acknowledge : std::exchange(pending_acknowledgements_, {})) acknowledge(response);
+    for (const ServerCall& call : std::exchange(pending_acknowledgements_, {})) acknowledge_server_call(call);
+}
+
+// A server whose keys could not be renewed here has to ask another controller: an acknowledgement without
+// keys would let its holds run out.
+void CommandExecutor::acknowledge_server_call(const ServerCall& call) {
+    const KeyGrant grant = ownership_.grant_for(call.service, call.id);
+    switch (grant.kind) {
+        case KeyGrant::Kind::NotSharded: return call.respond(control_api::call_accepted(heartbeat_target_));
+        case KeyGrant::Kind::Unconfirmed: return call.respond(control_api::retry_later());
+        case KeyGrant::Kind::Rows: break;
+    }
+    call.respond(control_api::call_accepted(heartbeat_target_, grant.rows, grant.hold));
 }
 
 // What a server says counts also where it waits no longer for the answer.
 void CommandExecutor::execute(const control_api::HeartbeatCommand& command, PendingCommand& pending) {
     ++statistics_.heartbeats;
     distributor_.record_heartbeat(command.heartbeat);
-    if (command.heartbeat.server.state == registry::State::Draining)
-        return acknowledge_departure(pending.respond);
-    pending_acknowledgements_.push_back(std::move(pending.respond));
+    statistics_.malformed_hold_rows += command.heartbeat.malformed_rows;
+    ownership_.on_heartbeat(command.heartbeat);
+    const registry::Server& server = command.heartbeat.server;
+    ServerCall call{server.service, server.id, std::move(pending.respond)};
+    if (server.state == registry::State::Draining) return acknowledge_departure(call);
+    pending_acknowledgements_.push_back(std::move(call));
 }
 
 void CommandExecutor::execute(const control_api::Deregister& command, PendingCommand& pending) {
     ++statistics_.deregistrations;
     distributor_.deregister(command.id);
-    acknowledge_departure(pending.respond);
+    acknowledge_departure({{}, command.id, pending.respond});
 }
 
 // Once a majority of the voters knows of it: whichever part of the system gateways are in touch with, it then
 // has a controller that tells them.
-void CommandExecutor::acknowledge_departure(const Respond& respond) {
+void CommandExecutor::acknowledge_departure(const ServerCall& call) {
     distributor_.request_acknowledgement();
     departures_.wait(distributor_.sequence(), reactor_.clock().now(),
-                     [this, respond](DepartureBarrier::Result result) {
-                         if (result == DepartureBarrier::Result::Known)
-                             return respond(control_api::call_accepted(heartbeat_target_));
+                     [this, call](DepartureBarrier::Result result) {
+                         if (result == DepartureBarrier::Result::Known) return acknowledge_after_plan(call);
                          ++statistics_.departures_unconfirmed;
-                         respond(control_api::retry_later());
+                         call.respond(control_api::retry_later());
                      });
 }
 
+// The keys of a server that leaves go to others: it learns of that by this answer, if the plan is committed
+// soon.
+void CommandExecutor::acknowledge_after_plan(const ServerCall& call) {
+    if (!ownership_.is_plan_due(call.service, call.id)) return acknowledge_server_call(call);
+    planned_departures_.push_back({call, reactor_.clock().now() + kMaxPlanTime});
+    if (plan_timer_ == 0)
+        plan_timer_ = reactor_.schedule_after(kMaxPlanTime, [this] { answer_planned_departures(); });
+}
+
+void CommandExecutor::answer_planned_departures() {
+    const TimePoint now = reactor_.clock().now();
+    for (PlannedDeparture& departure : std::exchange(planned_departures_, {})) {
+        const bool waits =
+            now < departure.deadline && ownership_.is_plan_due(departure.call.service, departure.call.id);
+        if (waits) planned_departures_.push_back(std::move(departure));
+        else acknowledge_server_call(departure.call);
+    }
+    reactor_.cancel_timer(plan_timer_);
+    plan_timer_ = planned_departures_.empty() ? 0
+                                              : reactor_.schedule_at(planned_departures_.front().deadline,
+                                                                     [this] { answer_planned_departures(); });
+}
+
 void CommandExecutor::complete_departures() {
     if (departures_.empty()) return;
     std::vector<std::string> voters;
--- a/src/controller/command_executor.h
+++ b/src/controller/command_executor.h
@@ -13,6 +13,7 @@
 #include "controller/configuration_loader.h"
 #include "controller/consensus_driver.h"
 #include "controller/departure_barrier.h"
+#include "controller/ownership_coordinator.h"
 #include "controller/update_distributor.h"
 
 namespace shaletray::controller {
@@ -27,10 +28,12 @@
         std::uint64_t conflicts = 0;                 // replacements whose version belongs to another text
         std::uint64_t indeterminate = 0;             // replacements without an answer of a majority
         std::uint64_t departures_unconfirmed = 0;    // of which no majority knew in time
+        std::uint64_t malformed_hold_rows = 0;       // in heartbeats, of held or released keys
     };
     // Servers are told to send their heartbeats to `heartbeat_target`, this controller's control address.
     CommandExecutor(Reactor& reactor, ConsensusDriver& consensus, ConfigurationLoader& loader,
-                    UpdateDistributor& distributor, std::string heartbeat_target);
+                    UpdateDistributor& distributor, OwnershipCoordinator& ownership,
+                    std::string heartbeat_target);
     ~CommandExecutor();
     CommandExecutor(const CommandExecutor&) = delete;
     CommandExecutor& operator=(const CommandExecutor&) = delete;
@@ -38,6 +41,8 @@
     void handle_call(const ApiCall& call, std::shared_ptr<ApiCaller> caller);
     // Acknowledges the departures of which a majority of the voters knows by now.
     void complete_departures();
+    // The ownership table has changed: answers may have waited for it.
+    void on_ownership_changed() { answer_planned_departures(); }
     // What waits can no longer be confirmed: the changes are numbered anew.
     void abandon_departures() { departures_.reset(); }
     // This controller is about to stop: servers are no longer asked to stay with it.
@@ -49,8 +54,16 @@
 
     void schedule_run();
     void run_commands();
+    // A server's call that is to be answered.
+    struct ServerCall {
+        std::string service, id;
+        Respond respond;
+    };
     void acknowledge_server_calls();
-    void acknowledge_departure(const Respond& respond);
+    void acknowledge_server_call(const ServerCall& call);
+    void acknowledge_departure(const ServerCall& call);
+    void acknowledge_after_plan(const ServerCall& call);
+    void answer_planned_departures();
     void expire_departures();
     void schedule_expiry();
     void execute(const control_api::HeartbeatCommand& command, control_api::PendingCommand& pending);
@@ -67,12 +80,20 @@
     ConsensusDriver& consensus_;
     ConfigurationLoader& loader_;
     UpdateDistributor& distributor_;
+    OwnershipCoordinator& ownership_;
     std::string heartbeat_target_;
     control_api::CommandQueue commands_;
     Timers::Id run_timer_ = 0;
     // Calls of servers that were run in this turn: acknowledged once their changes have been published.
-    std::vector<Respond> pending_acknowledgements_;
+    std::vector<ServerCall> pending_acknowledgements_;
     DepartureBarrier departures_;
+    // Of servers that leave, and whose keys are being given to others: the answer takes the keys from them.
+    struct PlannedDeparture {
+        ServerCall call;
+        TimePoint deadline{};
+    };
+    std::vector<PlannedDeparture> planned_departures_;
+    Timers::Id plan_timer_ = 0;
     Timers::Id expiry_timer_ = 0;
     Statistics statistics_;
 };
--- a/src/controller/configuration_publisher.cpp
+++ b/src/controller/configuration_publisher.cpp
@@ -57,6 +57,12 @@
     // Without any change it still proves which controllers run.
     update.endpoint_changes = registry_.encode_changes(update.since_sequence, false, now);
     position.sequence = update.sequence;
+    update.ownership_version = ownership_table_.version;
+    if (position.ownership_version < update.ownership_version) {
+        update.ownership_since = position.ownership_version;
+        update.ownership_changes = ownership::encode_changes(ownership_table_, position.ownership_version);
+        position.ownership_version = update.ownership_version;
+    }
     return subscription::encode(update);
 }
 
@@ -69,12 +75,14 @@
     const bool knows_incarnation = client_state.known_incarnation == settings_.incarnation;
     client.position.sequence =
         knows_incarnation ? std::min(client_state.known_sequence, registry_.sequence()) : 0;
+    client.position.ownership_version = client_state.ownership_version;
     client.last_contact = now;
     messages.push_back({from, make_update(client.position, now)});
 }
 
 bool ConfigurationPublisher::is_behind(const ClientPosition& position) const {
-    return position.version < version() || position.sequence < registry_.sequence();
+    return position.version < version() || position.sequence < registry_.sequence() ||
+           position.ownership_version < ownership_table_.version;
 }
 
 void ConfigurationPublisher::notify_clients(TimePoint now, std::vector<OutgoingMessage>& messages) {
--- a/src/controller/configuration_publisher.h
+++ b/src/controller/configuration_publisher.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "cluster/configuration/configuration.h"
+#include "cluster/ownership/ownership_table.h"
 #include "cluster/registry/service_registry.h"
 #include "cluster/subscription/subscription.h"
 
@@ -38,6 +39,8 @@
     void set_incarnation(std::uint64_t incarnation) { settings_.incarnation = incarnation; }
     // The newest committed configuration; its version is above all that were published before.
     void publish(configuration::Configuration new_configuration);
+    // The newest committed ownership table.
+    void publish(const ownership::OwnershipTable& table) { ownership_table_ = table; }
     // Of the newest configuration; 0: there is none yet.
     std::uint64_t version() const { return versions_.empty() ? 0 : versions_.back().snapshot->version; }
     // What the updates from now on say about this controller's contact with a majority of the voters.
@@ -58,6 +61,7 @@
     struct ClientPosition {
         std::uint64_t version = 0, digest = 0;    // of its configuration
         std::uint64_t sequence = 0;               // of the registry
+        std::uint64_t ownership_version = 0;
         auto operator<=>(const ClientPosition&) const = default;
     };
     struct Client {
@@ -84,6 +88,7 @@
     std::map<std::pair<std::uint64_t, std::uint64_t>, std::string> deltas_;
     std::map<std::string, Client> clients_;    // by the gateway's address
     bool quorum_confirmed_ = false;
+    ownership::OwnershipTable ownership_table_;
 };
 
 }    // namespace shaletray::controller
--- a/src/controller/consensus_driver.cpp
+++ b/src/controller/consensus_driver.cpp
@@ -59,6 +59,12 @@
     apply_actions(std::move(actions));
 }
 
+void ConsensusDriver::change_ownership_table(std::string current_table, std::string new_table) {
+    consensus::Actions actions;
+    register_.change_ownership_table(std::move(current_table), std::move(new_table), clock_.now(), actions);
+    apply_actions(std::move(actions));
+}
+
 void ConsensusDriver::on_message(const std::string& from, const std::string& bytes) {
     consensus::Actions actions;
     register_.on_message(from, bytes, clock_.now(), actions);
--- a/src/controller/consensus_driver.h
+++ b/src/controller/consensus_driver.h
@@ -13,6 +13,7 @@
 #include "cluster/consensus/replicated_register.h"
 #include "cluster/consensus/state_store.h"
 #include "cluster/transport/connection_manager.h"
+#include "controller/ownership_register.h"
 #include "controller/quorum_tracker.h"
 #include "controller/voter_reconciler.h"
 
@@ -20,7 +21,7 @@
 
 // For the reactor's thread only. Reactor and connections have to outlive it. Requests that are open when it
 // is destroyed are dropped without their callback.
-class ConsensusDriver {
+class ConsensusDriver final : public OwnershipRegister {
 public:
     using OutcomeCallback = std::function<void(consensus::Outcome)>;
     struct Callbacks {
@@ -33,7 +34,7 @@
     ConsensusDriver(Reactor& reactor, transport::ConnectionManager& connections,
                     std::unique_ptr<consensus::StateStore> store, consensus::Settings settings,
                     Duration contact_timeout, Callbacks callbacks);
-    ~ConsensusDriver();
+    ~ConsensusDriver() override;
     ConsensusDriver(const ConsensusDriver&) = delete;
     ConsensusDriver& operator=(const ConsensusDriver&) = delete;
 
@@ -41,16 +42,19 @@
     void propose(std::uint64_t version, std::string text, OutcomeCallback on_outcome);
     void quorum_read(OutcomeCallback on_outcome);
     void change_voters(const VoterReconciler::VoterChange& change);
+    void change_ownership_table(std::string current_table, std::string new_table) override;
+    std::optional<TimePoint> quorum_confirmed_at() const override { return register_.quorum_confirmed_at(); }
+    bool is_voter() const override { return register_.is_voter(); }
     void on_message(const std::string& from, const std::string& bytes);
     void set_peers(std::vector<std::string> addresses);
     // Also confirms the quorum from time to time.
     void tick(TimePoint now);
     TimePoint next_deadline() const;
 
-    bool is_quorum_held() const { return quorum_.is_held(clock_.now()); }
+    bool is_quorum_held() const override { return quorum_.is_held(clock_.now()); }
     std::uint64_t quorum_loss_count() const { return quorum_.loss_count(); }
     const consensus::ReplicatedRegister& replicated_register() const { return register_; }
-    const consensus::LogEntry& committed_entry() const { return register_.committed_entry(); }
+    const consensus::LogEntry& committed_entry() const override { return register_.committed_entry(); }
     const consensus::StateStore& store() const { return *store_; }
 
 private:
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -54,10 +54,15 @@
                    {[this] { return consensus_.is_quorum_held(); },
                     [this](TimePoint deadline) { schedule_tick(deadline); },
                     [this] { commands_.complete_departures(); }}),
-      loader_(reactor_,
-              [this](configuration::Configuration parsed) { distributor_.publish(std::move(parsed)); }),
+      ownership_(ownership_settings(), clock_, consensus_, distributor_.servers(),
+                 {[this](TimePoint deadline) { schedule_tick(deadline); },
+                  [this](const ownership::OwnershipTable& table) {
+                      distributor_.publish(table);
+                      commands_.on_ownership_changed();
+                  }}),
+      loader_(reactor_, [this](configuration::Configuration parsed) { on_configuration(std::move(parsed)); }),
       voter_manager_(reconciler_settings(settings_, address_, disk_id_), clock_, consensus_, membership_),
-      commands_(reactor_, consensus_, loader_, distributor_, settings_.control_address) {
+      commands_(reactor_, consensus_, loader_, distributor_, ownership_, settings_.control_address) {
     start_servers();
     update_peers();
     on_entry_committed();
@@ -158,9 +163,22 @@
     log_event(LogLevel::Info, "entry_committed",
               {log_field("number", entry.number), log_field("version", entry.version),
                log_field("voters", entry.voters.size())});
+    ownership_.on_entry_committed();
     loader_.load(entry);
 }
 
+void Controller::on_configuration(configuration::Configuration parsed) {
+    std::set<std::string> sharded;
+    for (const configuration::Service& service : parsed.services)
+        if (service.is_sharded) sharded.insert(service.name);
+    ownership_.set_sharded_services(std::move(sharded));
+    distributor_.publish(std::move(parsed));
+}
+
+OwnershipCoordinator::Settings Controller::ownership_settings() const {
+    return {address_, settings_.heartbeat, settings_.bounds.max_hold};
+}
+
 // The other controllers: those that are members, and the seeds that were not met yet.
 void Controller::update_peers() {
     std::vector<std::string> peers;
@@ -183,13 +201,14 @@
     if (membership_.next_deadline() <= now) tick_membership(now);
     consensus_.tick(now);
     distributor_.tick(now);
+    ownership_.tick(now);
     if (now >= next_voter_check_) {
         next_voter_check_ = now + kVoterCheckInterval;
         voter_manager_.reconcile();
         loader_.load(consensus_.committed_entry());    // again, where too much was queued before
     }
     schedule_tick(std::min({membership_.next_deadline(), consensus_.next_deadline(),
-                            distributor_.next_deadline(), next_voter_check_}));
+                            distributor_.next_deadline(), ownership_.next_deadline(), next_voter_check_}));
 }
 
 void Controller::tick_membership(TimePoint now) {
@@ -270,6 +289,15 @@
     append_value("heartbeats_total", calls.heartbeats);
     append_value("deregistrations_total", calls.deregistrations);
     append_value("replacements_total", calls.replacements);
+    const OwnershipCoordinator::Statistics& ownership = ownership_.statistics();
+    append_value("ownership_version", ownership_.table().version);
+    append_value("ownership_services", ownership_.table().services.size());
+    append_value("ownership_unsettled_rows", ownership_.unsettled_rows());
+    append_value("ownership_granted_total", ownership.granted);
+    append_value("ownership_unconfirmed_total", ownership.unconfirmed);
+    append_value("ownership_proposals_total", ownership.proposals);
+    append_value("ownership_releases_proven_total", ownership.settled_by_proof);
+    append_value("ownership_malformed_rows_total", calls.malformed_hold_rows);
     append_value("failed_writes_total", consensus_.store().failed_writes());
     return text;
 }
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -16,6 +16,7 @@
 #include "controller/command_executor.h"
 #include "controller/configuration_loader.h"
 #include "controller/consensus_driver.h"
+#include "controller/ownership_coordinator.h"
 #include "controller/update_distributor.h"
 #include "controller/voter_manager.h"
 
@@ -49,6 +50,8 @@
     void on_message(const transport::Message& message);
     void apply_actions(const membership::Actions& actions);
     void on_entry_committed();
+    void on_configuration(configuration::Configuration parsed);
+    OwnershipCoordinator::Settings ownership_settings() const;
     void update_peers();
     void tick();
     void tick_membership(TimePoint now);
@@ -68,6 +71,7 @@
     membership::Membership membership_;
     ConsensusDriver consensus_;
     UpdateDistributor distributor_;
+    OwnershipCoordinator ownership_;
     ConfigurationLoader loader_;
     VoterManager voter_manager_;
     CommandExecutor commands_;
--- a/src/controller/update_distributor.cpp
+++ b/src/controller/update_distributor.cpp
@@ -49,6 +49,11 @@
     notify_gateways();
 }
 
+void UpdateDistributor::publish(const ownership::OwnershipTable& table) {
+    publisher_.publish(table);
+    notify_gateways();
+}
+
 void UpdateDistributor::on_registry_message(const transport::Message& message) {
     forwarder_.on_message(message.sender, message.incarnation, message.payload, clock_.now());
     notify_gateways_of_changes();
--- a/src/controller/update_distributor.h
+++ b/src/controller/update_distributor.h
@@ -49,6 +49,10 @@
     void publish_changes();
     // Sends a committed configuration to the gateways, unless a newer one was published already.
     void publish(configuration::Configuration new_configuration);
+    // Sends the rows of the committed ownership table that have changed to the gateways.
+    void publish(const ownership::OwnershipTable& table);
+    // All known servers by id. The reference stays valid.
+    const std::map<std::string, registry::Server>& servers() const { return registry_.servers(); }
     // A message of another controller about its servers.
     void on_registry_message(const transport::Message& message);
     // A gateway's report of what it has. Malformed ones are ignored.
--- a/src/data_plane/engine/engine.cpp
+++ b/src/data_plane/engine/engine.cpp
@@ -128,6 +128,7 @@
     arrival_event.budget = incoming.time_budget;
     arrival_event.first_gateway = incoming.first_gateway_index;
     arrival_event.width = incoming.gateway_set_size;
+    arrival_event.only_host = incoming.only_host;
     request.incoming = std::move(incoming);
     // Sent before each request, so that it does not matter what the module evicted or what expired meanwhile.
     request.plan_decision = {arrival_event.customer, arrival_event.plan_index, 0, 0};
--- a/src/data_plane/engine/engine.h
+++ b/src/data_plane/engine/engine.h
@@ -80,6 +80,7 @@
     Duration time_budget{0};    // until its deadline
     // The customer's gateway set, over which its quota is divided: first index, and how many follow on.
     int first_gateway_index = 0, gateway_set_size = 1;
+    HostId only_host{};            // the server that may run it; HostId{}: any of the service
     bool is_streaming = false;     // the response begins long before it ends
     std::string reservation_id;    // the reservation to charge, if a plan service is set; empty: none
     std::shared_ptr<const void> context = {};    // the mapping's own data, kept as long as the request
--- a/src/decision/choice.cpp
+++ b/src/decision/choice.cpp
@@ -21,6 +21,7 @@
     }
     if (r.streaming || static_cast<int>(r.attempts.size()) >= most_attempts(r) || now >= r.deadline)
         return false;
+    if (r.ask.only_host != HostId{} && r.ask.only_host != target->entry.host) return false;
     if (target->entry.state != HostState::Healthy) return false;    // drains: nothing new, at once
     if (first == nullptr || c.repeat == Repeat::Safe) return true;
     if (c.repeat == Repeat::Unsafe || now - first->sent >= c.window) return false;
--- a/src/gateway/control_plane_client.cpp
+++ b/src/gateway/control_plane_client.cpp
@@ -144,6 +144,7 @@
     client_state.known_incarnation = controller_state.incarnation;
     client_state.known_sequence = controller_state.sequence;
     client_state.quota_divisor = quota_divisor_;
+    client_state.ownership_version = owners_.version();
     if (controller_state.requested_at < controller_state.last_heard ||
         controller_state.requested_at == TimePoint{})
         controller_state.requested_at = now;
@@ -174,6 +175,7 @@
     ++statistics_.updates;
     record_contact(update, controller_state, now);
     bool incomplete = apply_update(update, actions);
+    incomplete = apply_ownership(update) || incomplete;
     if (!apply_endpoint_changes(update, now, actions)) return;
     if (update.since_sequence <= controller_state.sequence)
         controller_state.sequence = std::max(controller_state.sequence, update.sequence);
@@ -213,6 +215,14 @@
     return true;
 }
 
+// Applies the owners of shard keys. True where this gateway is still behind the update's version.
+bool ControlPlaneClient::apply_ownership(const subscription::ControlUpdate& update) {
+    if (update.ownership_version <= owners_.version()) return false;    // never go back
+    if (update.ownership_changes.empty() || update.ownership_since > owners_.version()) return true;
+    if (!owners_.apply(update.ownership_changes)) ++statistics_.malformed_updates;
+    return owners_.version() < update.ownership_version;
+}
+
 // Applies the configuration of the update. True where this gateway is still behind the update's version.
 bool ControlPlaneClient::apply_update(const subscription::ControlUpdate& update, Actions& actions) {
     if (update.version <= configuration_version()) return false;    // never go back
--- a/src/gateway/control_plane_client.h
+++ b/src/gateway/control_plane_client.h
@@ -9,6 +9,7 @@
 
 #include "cluster/configuration/configuration.h"
 #include "cluster/configuration/configuration_index.h"
+#include "cluster/ownership/owner_map.h"
 #include "cluster/registry/service_registry.h"
 #include "cluster/subscription/subscription.h"
 
@@ -66,6 +67,8 @@
     const std::shared_ptr<const configuration::ConfigurationIndex>& configuration_index() const {
         return configuration_index_;
     }
+    // Of services whose keys are divided among their servers.
+    const ownership::OwnerMap& owners() const { return owners_; }
     // By instance id.
     const std::map<std::string, registry::Server>& servers() const { return endpoints_.servers(); }
     // Whether a controller that a quorum confirmed has told this incarnation all that there is.
@@ -105,6 +108,7 @@
     void record_contact(const subscription::ControlUpdate& update, ControllerState& controller_state,
                         TimePoint now);
     bool apply_endpoint_changes(const subscription::ControlUpdate& update, TimePoint now, Actions& actions);
+    bool apply_ownership(const subscription::ControlUpdate& update);
     bool apply_update(const subscription::ControlUpdate& update, Actions& actions);
     std::uint64_t configuration_version() const {
         return configuration_index_ ? configuration_index_->config().version : 0;
@@ -118,6 +122,7 @@
     configuration::Configuration empty_configuration_;    // what the first update is applied to
     std::uint64_t digest_ = 0;                            // of the configuration
     registry::EndpointDirectory endpoints_;
+    ownership::OwnerMap owners_;
     bool caught_up_ = false;
     bool needs_full_update_ = false;    // a delta did not fit
     std::uint32_t quota_divisor_ = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -59,9 +59,9 @@
         [this](transport::Message&& message) { on_message(std::move(message)); });
 
     const int zone = hosts_.zone_number(settings_.zone);
-    dispatcher_ = std::make_unique<RequestDispatcher>(dispatcher_settings_of(settings_, zone, seed + 2),
-                                                      reactor_, timers_, counters_, hosts_, *quota_balancer_,
-                                                      [this] { schedule_tick(); });
+    dispatcher_ = std::make_unique<RequestDispatcher>(
+        dispatcher_settings_of(settings_, zone, seed + 2), reactor_, timers_, counters_, hosts_,
+        control_plane_client_->owners(), *quota_balancer_, [this] { schedule_tick(); });
 
     listener_ = std::make_unique<ClientListener>(
         *dispatcher_, request_mapper_, ClientCapacity{max_sockets(settings_), settings_.memory_mb}, counters_,
@@ -329,7 +329,11 @@
          .configuration_version = configuration_index ? configuration_index->config().version : 0,
          .quota_divisor = quota_lease_.quota_divisor(),
          .known_gateways = known_gateway_count_,
-         .misdirections = dispatcher_->pipelines().misdirections_by_service()});
+         .misdirections = dispatcher_->pipelines().misdirections_by_service(),
+         .ownership_version = control_plane_client_->owners().version(),
+         .owner_rows = control_plane_client_->owners().row_count(),
+         .without_owner = dispatcher_->statistics().without_owner,
+         .sent_to_new_owner = dispatcher_->statistics().sent_to_new_owner});
 }
 
 std::string Gateway::counters_text() const {
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -56,6 +56,10 @@
     append_value(out, "quota_expired_transfers_total", static_cast<double>(source.quota.expired_transfers));
     append_value(out, "quota_units_sent_total", source.quota.units_sent);
     append_value(out, "quota_units_received_total", source.quota.units_received);
+    append_value(out, "ownership_version", static_cast<double>(source.ownership_version));
+    append_value(out, "ownership_rows", static_cast<double>(source.owner_rows));
+    append_value(out, "requests_without_owner_total", static_cast<double>(source.without_owner));
+    append_value(out, "requests_sent_to_new_owner_total", static_cast<double>(source.sent_to_new_owner));
     append_counts(out, "tenant", source.admissions.by_tenant());
     append_counts(out, "route", source.admissions.by_route());
     for (const auto& [service, counts] : source.misdirections) {
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -21,6 +21,9 @@
     std::uint32_t quota_divisor = 0;    // the number of gateways that share the quotas; 0: no lease
     std::size_t known_gateways = 0;     // not dead, this one included
     std::map<std::string, ServicePipelines::MisdirectionCounts> misdirections = {};    // by service
+    std::uint64_t ownership_version = 0;    // of the owners of shard keys
+    std::size_t owner_rows = 0;
+    std::uint64_t without_owner = 0, sent_to_new_owner = 0;    // requests with a shard key
 };
 
 std::string format_metrics(const MetricsSource& source);
--- a/src/gateway/http_mapping/headers.h
+++ b/src/gateway/http_mapping/headers.h
@@ -13,6 +13,7 @@
 inline constexpr std::string_view kAttemptIdHeader = "X-Attempt-Id";
 inline constexpr std::string_view kDeadlineHeader = "X-Deadline-Remaining";
 inline constexpr std::string_view kTargetInstanceHeader = "X-Target-Instance";
+inline constexpr std::string_view kShardKeyHeader = "X-Shard-Key";
 inline constexpr std::string_view kTenantHeader = "X-Tenant";
 inline constexpr std::string_view kServerSealHeader = "X-Server-Seal";
 inline constexpr std::string_view kNotExecutedHeader = "X-Not-Executed";
--- a/src/gateway/http_mapping/request_mapper.cpp
+++ b/src/gateway/http_mapping/request_mapper.cpp
@@ -73,12 +73,35 @@
     return Duration(static_cast<std::int64_t>(value * 1000.0));
 }
 
+std::optional<ownership::Key> parse_shard_key(std::string_view text) {
+    ownership::Key key = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), key);
+    if (error != std::errc{} || end != text.data() + text.size()) return {};
+    return key;
+}
+
+void RequestMapper::set_configuration(std::shared_ptr<const configuration::ConfigurationIndex> index) {
+    configuration_index_ = std::move(index);
+    sharded_services_.clear();
+    for (const configuration::Service& service : configuration_index_->config().services)
+        if (service.is_sharded) sharded_services_.insert(service.name);
+}
+
+// Whether requests of the route may go to a service whose keys are divided among its servers.
+bool RequestMapper::needs_shard_key(const configuration::Route& route) const {
+    if (sharded_services_.empty()) return false;
+    return std::any_of(route.targets.begin(), route.targets.end(),
+                       [this](const configuration::WeightedService& target) {
+                           return sharded_services_.contains(target.service);
+                       });
+}
+
 std::variant<MappedRequest, ImmediateRejection> RequestMapper::map_request(const http::Parser& parser,
                                                                            const http::Buffer& buffer,
                                                                            TimePoint) {
     // A header that is there twice could mean one thing here and another to the server.
     for (const std::string_view name :
-         {kHostHeader, kAttemptIdHeader, kDeadlineHeader, kAuthorizationHeader}) {
+         {kHostHeader, kAttemptIdHeader, kDeadlineHeader, kAuthorizationHeader, kShardKeyHeader}) {
         if (parser.header_count(buffer, name) > 1)
             return ImmediateRejection{400, "a header that may come once came twice"};
     }
@@ -99,6 +122,10 @@
             configuration_index_->find_tenant(api_key_of(parser.header(buffer, kAuthorizationHeader)));
         if (match->tenant == nullptr && !route.is_public) return reject(401, "no key, or an unknown one");
     }
+    if (needs_shard_key(route)) {
+        match->shard_key = parse_shard_key(parser.header(buffer, kShardKeyHeader));
+        if (!match->shard_key) return reject(400, "no X-Shard-Key from 0 to 65535");
+    }
     MappedRequest accepted;
     accepted.request_id = parser.header(buffer, kAttemptIdHeader);
     if (accepted.request_id.empty() || accepted.request_id.size() > kMaxIdLength)
--- a/src/gateway/http_mapping/request_mapper.h
+++ b/src/gateway/http_mapping/request_mapper.h
@@ -4,12 +4,15 @@
 
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <string_view>
 #include <variant>
 
 #include "base/http/answer.h"
 #include "cluster/configuration/configuration.h"
 #include "cluster/configuration/configuration_index.h"
+#include "cluster/ownership/ownership_table.h"
 #include "data_plane/proxy/request_mapping.h"
 
 namespace shaletray::http_mapping {
@@ -20,6 +23,7 @@
     std::shared_ptr<const configuration::ConfigurationIndex> configuration_index;
     const configuration::Route* route = nullptr;
     const configuration::Tenant* tenant = nullptr;    // null: a public route, or no keys are required
+    std::optional<ownership::Key> shard_key{};        // set where the route may need it
 
     // The tenant's priority where it has one, otherwise the route's.
     int priority() const {
@@ -31,9 +35,7 @@
 class RequestMapper final : public RequestMapping {
 public:
     // Takes effect for all requests that are read from now on.
-    void set_configuration(std::shared_ptr<const configuration::ConfigurationIndex> index) {
-        configuration_index_ = std::move(index);
-    }
+    void set_configuration(std::shared_ptr<const configuration::ConfigurationIndex> index);
     const std::shared_ptr<const configuration::ConfigurationIndex>& configuration_index() const {
         return configuration_index_;
     }
@@ -49,9 +51,15 @@
     GatewayAnswer failure_answer(FailureReason reason) const override;
 
 private:
+    bool needs_shard_key(const configuration::Route& route) const;
+
     std::shared_ptr<const configuration::ConfigurationIndex> configuration_index_;
+    std::set<std::string, std::less<>> sharded_services_;
 };
 
+// A shard key, from 0 to 65535; nothing where it is malformed.
+std::optional<ownership::Key> parse_shard_key(std::string_view text);
+
 // A number of milliseconds, with decimals or without. Nothing where it is malformed, negative or above an
 // hour.
 std::optional<Duration> parse_deadline(std::string_view text);
--- a/src/gateway/http_mapping/upstream_hosts.cpp
+++ b/src/gateway/http_mapping/upstream_hosts.cpp
@@ -231,6 +231,13 @@
            now - record.unhealthy_since <= settings_.drain_start_grace;
 }
 
+std::optional<HostId> UpstreamHosts::serving_host(const std::string& id) const {
+    const auto number = numbers_.find(id);
+    if (number == numbers_.end()) return std::nullopt;
+    const bool is_healthy = hosts_.at(number->second).entry.state == decision::HostState::Healthy;
+    return is_healthy ? std::optional(number->second) : std::nullopt;
+}
+
 const std::string* UpstreamHosts::id_of(HostId host) const {
     const auto it = hosts_.find(host);
     return it == hosts_.end() ? nullptr : &it->second.id;
--- a/src/gateway/http_mapping/upstream_hosts.h
+++ b/src/gateway/http_mapping/upstream_hosts.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -47,6 +48,8 @@
 
     const Host* find_host(HostId host) const override;
     bool may_send_to(HostId host, TimePoint now) const override;
+    // The server with this id, if new requests may go to it.
+    std::optional<HostId> serving_host(const std::string& id) const;
     // Null where the host is not known any more.
     const std::string* id_of(HostId host) const;
     const std::string* service_of(HostId host) const;
--- a/src/gateway/pending_request.h
+++ b/src/gateway/pending_request.h
@@ -33,8 +33,12 @@
     std::string tenant_name;                // empty where no quota applies
     ServicePipeline* pipeline = nullptr;    // once it is forwarded
     RequestId request_id{};                 // of the pipeline's engine
-    Timers::Id wait_timer = 0;              // while it is queued
-    Duration retry_after{0};                // the advice for when its wait expires
+    // Of a request with a shard key: the server that it was sent to, and the request itself, for the case
+    // that the server has let the key go. Reset once it was sent again, and where it cannot be.
+    HostId owner{};
+    std::optional<IncomingRequest> copy;
+    Timers::Id wait_timer = 0;    // while it is queued
+    Duration retry_after{0};      // the advice for when its wait expires
     TimePoint arrived_at{};
     bool charged = false;    // a unit of quota was taken
     bool queued = false;     // it waits for a unit
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -35,6 +35,7 @@
 }
 
 void RequestDispatcher::PendingRequest::on_rejected(Duration, RejectionReason reason) {
+    if (dispatcher.send_to_new_owner(*this)) return;
     ++dispatcher.statistics_.rejected_capacity;
     dispatcher.admissions_.record(tenant_name, route_match().route->name,
                                   AdmissionOutcome::RejectedByCapacity);
@@ -52,9 +53,12 @@
 
 RequestDispatcher::RequestDispatcher(const DispatcherSettings& settings, Reactor& reactor, Timers& timers,
                                      Counters& counters, http_mapping::UpstreamHosts& hosts,
-                                     quota::QuotaBalancer& balancer, std::function<void()> on_quota_due)
+                                     const ownership::OwnerMap& owners, quota::QuotaBalancer& balancer,
+                                     std::function<void()> on_quota_due)
     : settings_(settings),
       reactor_(reactor),
+      hosts_(hosts),
+      owners_(owners),
       balancer_(&balancer),
       on_quota_due_(std::move(on_quota_due)),
       random_(settings.seed),
@@ -167,6 +171,21 @@
     }
     IncomingRequest incoming = std::move(pending.incoming);
     incoming.class_index = class_entry->second;
+    const std::optional<ownership::Key> shard_key = pending.route_match().shard_key;
+    if (shard_key && pipelines_.is_sharded(pipeline.service)) {
+        const std::optional<HostId> owner = owner_of(pipeline.service, *shard_key);
+        if (!owner) {
+            ++statistics_.without_owner;
+            return pending.on_rejected(Duration(0), RejectionReason::Capacity);
+        }
+        pending.owner = incoming.only_host = *owner;
+        if (!incoming.payload.upload) pending.copy = incoming;
+    }
+    submit_to(pipeline, pending, std::move(incoming));
+}
+
+void RequestDispatcher::submit_to(ServicePipeline& pipeline, PendingRequest& pending,
+                                  IncomingRequest&& incoming) {
     pending.pipeline = &pipeline;
     const std::uint64_t ticket = pending.ticket;
     const RequestId request_id = pipeline.engine.submit(pending, std::move(incoming));
@@ -175,6 +194,29 @@
         found->second->request_id = request_id;
 }
 
+// While a row is not settled, its previous owner may still hold the key, and nobody else may.
+std::optional<HostId> RequestDispatcher::owner_of(const std::string& service, ownership::Key key) const {
+    const ownership::Assignment* const row = owners_.find(service, key);
+    if (row == nullptr) return std::nullopt;
+    return hosts_.serving_host(row->settled ? row->owner : row->previous_owner);
+}
+
+// A rejected request was not executed: it goes to the server that owns its key now, if that is another one
+// than it was sent to. Once, so that a request costs its service one more arrival at most.
+bool RequestDispatcher::send_to_new_owner(PendingRequest& pending) {
+    if (!pending.copy) return false;
+    IncomingRequest incoming = std::move(*pending.copy);
+    pending.copy.reset();
+    const std::optional<HostId> owner = owner_of(pending.pipeline->service, *pending.route_match().shard_key);
+    const Duration elapsed = reactor_.clock().now() - pending.arrived_at;
+    if (!owner || *owner == pending.owner || elapsed >= incoming.time_budget) return false;
+    ++statistics_.sent_to_new_owner;
+    pending.owner = incoming.only_host = *owner;
+    incoming.time_budget -= elapsed;
+    submit_to(*pending.pipeline, pending, std::move(incoming));
+    return true;
+}
+
 void RequestDispatcher::cancel(std::uint64_t ticket) {
     const auto found = pending_.find(ticket);
     if (found == pending_.end()) return;
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -5,12 +5,14 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "cluster/ownership/owner_map.h"
 #include "cluster/quota/quota_balancer.h"
 #include "data_plane/engine/engine.h"
 #include "gateway/admission_statistics.h"
@@ -32,7 +34,8 @@
 public:
     // `on_quota_due` is called when the quota balancer has to be ticked before its next deadline.
     RequestDispatcher(const DispatcherSettings& settings, Reactor& reactor, Timers& timers,
-                      Counters& counters, http_mapping::UpstreamHosts& hosts, quota::QuotaBalancer& balancer,
+                      Counters& counters, http_mapping::UpstreamHosts& hosts,
+                      const ownership::OwnerMap& owners, quota::QuotaBalancer& balancer,
                       std::function<void()> on_quota_due);
     ~RequestDispatcher() override;
 
@@ -61,6 +64,8 @@
         std::uint64_t rejected_capacity = 0;
         std::uint64_t served = 0;
         std::uint64_t failed = 0;
+        std::uint64_t without_owner = 0;        // rejected, since no server that serves holds their shard key
+        std::uint64_t sent_to_new_owner = 0;    // after the former one had let the key go
     };
     const Statistics& statistics() const { return statistics_; }
     const AdmissionStatistics& admissions() const { return admissions_; }
@@ -74,11 +79,17 @@
     bool retry_admission(PendingRequest& pending);
     void reject_over_quota(PendingRequest& pending, AdmissionOutcome outcome, Duration retry_after);
     void forward_request(PendingRequest& pending);
+    void submit_to(ServicePipeline& pipeline, PendingRequest& pending, IncomingRequest&& incoming);
+    // The server that may run requests with this key; none: nobody may now.
+    std::optional<HostId> owner_of(const std::string& service, ownership::Key key) const;
+    bool send_to_new_owner(PendingRequest& pending);
     DownstreamConnection& retire_request(PendingRequest& pending);
     Duration random_retry_delay();
 
     DispatcherSettings settings_;
     Reactor& reactor_;
+    const http_mapping::UpstreamHosts& hosts_;
+    const ownership::OwnerMap& owners_;
     quota::QuotaBalancer* balancer_;
     std::function<void()> on_quota_due_;
     std::mt19937_64 random_;
--- a/src/gateway/service_pipelines.h
+++ b/src/gateway/service_pipelines.h
@@ -60,6 +60,8 @@
 
     ServicePipeline& pipeline_for(const std::string& service);
     void set_configuration(std::shared_ptr<const configuration::ConfigurationIndex> configuration_index);
+    // Whether the service's keys are divided among its servers.
+    bool is_sharded(const std::string& service) const { return sharded_services_.contains(service); }
     // The endpoint lists of these services have changed.
     void on_servers_changed(const std::set<std::string>& services);
     // The number of gateways that share the retry budget and the servers.
@@ -92,6 +94,7 @@
     // By service; the routes belong to configuration_index_.
     std::unordered_map<std::string, std::vector<const configuration::Route*>> routes_by_service_;
     std::unordered_map<std::string, std::string> health_checks_;    // paths, by service
+    std::set<std::string> sharded_services_;
     std::unordered_map<std::string, std::unique_ptr<ServicePipeline>> pipelines_;
     std::map<std::string, MisdirectionCounts> misdirections_by_service_;
     std::uint32_t gateway_count_ = 1;
--- a/tests/compatibility/compatibility_test.cpp
+++ b/tests/compatibility/compatibility_test.cpp
@@ -89,6 +89,7 @@
 }    // namespace
 
 Test(compatibility, register_messages) { check(register_message_samples()); }
+Test(compatibility, ownership_tables) { check(ownership_samples()); }
 Test(compatibility, membership_packets) { check(membership_packet_samples()); }
 Test(compatibility, registry_changes) { check(registry_samples()); }
 Test(compatibility, watch_messages) { check(watch_samples()); }
--- a/tests/compatibility/register_samples.cpp
+++ b/tests/compatibility/register_samples.cpp
@@ -1,5 +1,6 @@
 // The replicated register: its messages, the header of its state, and its data folders.
 #include <chrono>
+#include <set>
 #include <stdexcept>
 #include <thread>
 
@@ -40,6 +41,7 @@
     fields.add(name + ".present", decree.has_value());
     if (!decree) return;
     fields.add(name + ".number", decree->number).add(name + ".version", decree->version);
+    fields.add(name + ".owners", decree->ownership_table);
     fields.add(name + ".text", decree->text).add(name + ".voters", decree->voters.size());
     for (const auto& voter : decree->voters)
         fields.add(name + ".voter.address", voter.address).add(name + ".voter.disk", voter.disk_id);
@@ -70,6 +72,7 @@
     add(fields, "ballot", message.ballot);
     add(fields, "other", message.other_ballot);
     fields.add("pending", message.has_accepted_entry).add("text_as_before", message.text_omitted);
+    fields.add("owners_as_before", message.ownership_table_omitted);
     add(fields, "value", message.entry);
     return fields.text();
 }
@@ -121,6 +124,9 @@
     accept.entry = decree(7, 42, "{\"version\": 42}", consensus::kMaxEarlierDigests);
     accept_text_as_before.entry = decree(7, 41, "", 5);
     accept_text_as_before.text_omitted = true;
+    Message accept_owners = accept_text_as_before, accept_owners_as_before = accept;
+    accept_owners.entry->ownership_table = std::string("owners\0\xff", 8);
+    accept_owners_as_before.ownership_table_omitted = true;
     accept_nothing_before.entry = decree(1, 1, std::string("a text\0with\xff", 11), 0);
     return {sample("prepare", prepare),
             sample("promise", promise),
@@ -128,6 +134,8 @@
             sample("accept", accept),
             sample("accept-text-as-before", accept_text_as_before),
             sample("accept-without-earlier", accept_nothing_before),
+            sample("accept-of-owners", accept_owners),
+            sample("accept-owners-as-before", accept_owners_as_before),
             sample("accepted", accepted),
             sample("refused", refused)};
 }
@@ -167,8 +175,12 @@
     StateHeader with_pending = header;
     with_pending.state.accepted_entry = decree(7, 42, "", 4);
     with_pending.accepted_text = consensus::make_text_reference(199, "{\"version\": 42}");
+    StateHeader with_owners = with_pending;
+    with_owners.state.committed.ownership_table = "owners";
+    with_owners.state.accepted_entry->ownership_table = "other owners";
     return {{"register-head", encode(header), fields_of(header), read_header},
-            {"register-head-pending", encode(with_pending), fields_of(with_pending), read_header}};
+            {"register-head-pending", encode(with_pending), fields_of(with_pending), read_header},
+            {"register-head-of-owners", encode(with_owners), fields_of(with_owners), read_header}};
 }
 
 std::unique_ptr<consensus::StateStore> opened(const std::string& folder) {
@@ -226,13 +238,27 @@
     return fields_of(store->loaded_state(), store->discard_reason());
 }
 
+// Entries then got a table of the owners of shard keys.
+std::vector<std::string> versions_of(const std::string& name) {
+    static const std::set<std::string> kWithEntry = {"register-promise-of-value",
+                                                     "register-accept",
+                                                     "register-accept-text-as-before",
+                                                     "register-accept-without-earlier",
+                                                     "register-learn",
+                                                     "register-learn-text-as-before",
+                                                     "register-head",
+                                                     "register-head-pending"};
+    if (kWithEntry.contains(name)) return {name, name + "-with-owners"};
+    return {name};
+}
+
 }    // namespace
 
 std::vector<MessageSample> register_message_samples() {
     std::vector<MessageSample> all = ballot_samples();
     for (auto& sample : learning_samples()) all.push_back(std::move(sample));
     for (auto& sample : header_samples()) all.push_back(std::move(sample));
-    return all;
+    return in_all_versions(all, versions_of);
 }
 
 std::vector<FolderSample> register_folder_samples() {
--- a/tests/compatibility/registry_samples.cpp
+++ b/tests/compatibility/registry_samples.cpp
@@ -162,7 +162,8 @@
         .add("digest", client_state.digest);
     fields.add("known_life", client_state.known_incarnation)
         .add("known_sequence", client_state.known_sequence);
-    return fields.add("counts", client_state.quota_divisor).text();
+    fields.add("counts", client_state.quota_divisor);
+    return fields.add("owners", client_state.ownership_version).text();
 }
 
 std::string fields_of(const subscription::ControlUpdate& update) {
@@ -174,7 +175,9 @@
     fields.add("digest", update.digest)
         .add("update", update.configuration_delta)
         .add("since", update.since_sequence);
-    return fields.add("sequence", update.sequence).add("servers", update.endpoint_changes).text();
+    fields.add("sequence", update.sequence).add("servers", update.endpoint_changes);
+    fields.add("owners_version", update.ownership_version).add("owners_since", update.ownership_since);
+    return fields.add("owners", update.ownership_changes).text();
 }
 
 std::string read_watch(std::string_view bytes) {
@@ -194,6 +197,8 @@
     if (name == "registry-own" || name == "registry-latest") return {name, name + "-needed-owners"};
     // Relayed updates then got a field by which the sender asks for an acknowledgement.
     if (name.starts_with("registry-relay-")) return {name, name + "-needed-owners", name + "-acknowledging"};
+    // Then gateways were told who owns which shard keys.
+    if (name.starts_with("watch-") && !name.ends_with("-of-owners")) return {name, name + "-with-owners"};
     return {name};
 }
 
@@ -202,16 +207,7 @@
 std::vector<MessageSample> registry_samples() {
     std::vector<MessageSample> samples = change_samples();
     for (auto& sample : relay_samples()) samples.push_back(std::move(sample));
-    std::vector<MessageSample> all;
-    for (const MessageSample& sample : samples) {
-        const std::vector<std::string> versions = versions_of(sample.name);
-        for (const std::string& version : versions) {
-            all.push_back(sample);
-            all.back().name = version;
-            all.back().only_read = version != versions.back();
-        }
-    }
-    return all;
+    return in_all_versions(samples, versions_of);
 }
 
 std::vector<MessageSample> watch_samples() {
@@ -227,9 +223,18 @@
                                              99,
                                              104,
                                              "changes of the registry"};
-    return {watch_sample("have-nothing", nothing_yet), watch_sample("have", client_state),
-            watch_sample("news-unchanged", unchanged), watch_sample("news-unconfirmed", unconfirmed),
-            watch_sample("news", update)};
+    subscription::ClientState owners_known = client_state;
+    owners_known.ownership_version = 17;
+    subscription::ControlUpdate owners = unchanged;
+    owners.ownership_version = 19;
+    owners.ownership_since = 17;
+    owners.ownership_changes = "rows of owners";
+    return in_all_versions(
+        {watch_sample("have-nothing", nothing_yet), watch_sample("have", client_state),
+         watch_sample("news-unchanged", unchanged), watch_sample("news-unconfirmed", unconfirmed),
+         watch_sample("news", update), watch_sample("have-of-owners", owners_known),
+         watch_sample("news-of-owners", owners)},
+        versions_of);
 }
 
 }    // namespace shaletray::compatibility
--- a/tests/compatibility/samples.h
+++ b/tests/compatibility/samples.h
@@ -22,6 +22,13 @@
     bool only_read = false;    // as an earlier release encoded it; recorded once, and not written any more
 };
 
+// Each sample in all versions of its encoding: `versions_of` names the recordings, the oldest first. Earlier
+// ones are only read, the last one is what is written now.
+std::vector<MessageSample> in_all_versions(
+    const std::vector<MessageSample>& samples,
+    const std::function<std::vector<std::string>(const std::string& name)>& versions_of);
+
+std::vector<MessageSample> ownership_samples();           // who owns which shard keys
 std::vector<MessageSample> register_message_samples();    // consensus messages and the head of the state
 std::vector<MessageSample> membership_packet_samples();
 std::vector<MessageSample> registry_samples();    // changes between coordinators, and as they are relayed
--- /dev/null
+++ b/tests/controller/ownership_world.cpp
@@ -0,0 +1,441 @@
+#include "controller/ownership_world.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+namespace shaletray::controller::test {
+namespace {
+
+constexpr std::size_t kControllers = 3, kFirstServers = 3, kMaxServers = 7;
+constexpr Duration kStep = 10ms, kHeartbeat = 1500ms, kAnswerLimit = 1s, kExpiry = 6s, kDrainTime = 2300ms;
+constexpr Duration kReadInterval = 500ms, kReadTimeout = 900ms, kQuorumValidity = 1500ms;
+const std::string kService = "saves";
+
+std::string address_of(std::size_t index) { return "10.1.0." + std::to_string(index + 1) + ":7100"; }
+
+}    // namespace
+
+// One controller: its register, its coordinator, and its view of the servers.
+struct OwnershipWorld::ControllerNode final : OwnershipRegister {
+    OwnershipWorld* world = nullptr;
+    std::size_t index = 0;
+    consensus::PersistentState disk;
+    std::vector<consensus::Actions::StateWrite> unsynced;
+    std::optional<consensus::ReplicatedRegister> replica;
+    std::optional<OwnershipCoordinator> coordinator;
+    std::map<std::string, registry::Server> servers;
+    std::uint64_t incarnation = 0;
+    TimePoint frozen_until{}, starts_at = TimePoint::max(), next_read_at{};
+
+    const consensus::LogEntry& committed_entry() const override { return replica->committed_entry(); }
+    std::optional<TimePoint> quorum_confirmed_at() const override { return replica->quorum_confirmed_at(); }
+    bool is_quorum_held() const override {
+        const auto confirmed_at = quorum_confirmed_at();
+        return confirmed_at && world->clock_.now() - *confirmed_at <= kQuorumValidity;
+    }
+    bool is_voter() const override { return replica->is_voter(); }
+    void change_ownership_table(std::string current_table, std::string new_table) override {
+        consensus::Actions actions;
+        replica->change_ownership_table(std::move(current_table), std::move(new_table), world->clock_.now(),
+                                        actions);
+        world->apply(index, std::move(actions));
+    }
+    bool runs() const { return replica && frozen_until <= world->clock_.now(); }
+};
+
+OwnershipWorld::OwnershipWorld(std::uint64_t seed, bool lenient_servers)
+    : seed_(seed), lenient_servers_(lenient_servers), random_(seed) {
+    for (std::size_t i = 0; i < kControllers; ++i) {
+        controllers_.push_back(std::make_unique<ControllerNode>());
+        controllers_.back()->world = this;
+        controllers_.back()->index = i;
+    }
+    for (std::size_t i = 0; i < kControllers; ++i) start_controller(i, true);
+    for (std::size_t i = 0; i < kFirstServers; ++i) add_server();
+}
+
+OwnershipWorld::~OwnershipWorld() = default;
+
+void OwnershipWorld::push(Event event) {
+    event.order = ++last_order_;
+    events_.push(std::move(event));
+}
+
+// ---- controllers ----
+
+void OwnershipWorld::start_controller(std::size_t index, bool is_first) {
+    ControllerNode& node = *controllers_[index];
+    node.incarnation = ++last_incarnation_;
+    node.starts_at = TimePoint::max();
+    node.frozen_until = TimePoint{};
+    node.next_read_at = TimePoint{};
+    node.servers.clear();
+    consensus::Settings settings;
+    settings.self = {address_of(index), node.disk.disk_id};
+    if (is_first)
+        for (std::size_t i = 0; i < kControllers; ++i) settings.founders.push_back(address_of(i));
+    settings.seed = random_();
+    settings.max_retry_interval = 1s;
+    node.replica.emplace(settings, node.disk, clock_.now());
+    std::vector<std::string> peers;
+    for (std::size_t i = 0; i < kControllers; ++i) peers.push_back(address_of(i));
+    node.replica->set_peers(peers);
+    node.coordinator.emplace(
+        OwnershipCoordinator::Settings{address_of(index), kHeartbeat, 10s}, clock_, node, node.servers,
+        OwnershipCoordinator::Callbacks{[](TimePoint) {}, [](const ownership::OwnershipTable&) {}});
+    node.coordinator->set_sharded_services({kService});
+    node.coordinator->on_entry_committed();
+}
+
+// What was written and not synced may be lost or kept.
+void OwnershipWorld::stop_controller(std::size_t index, bool wipes_disk) {
+    ControllerNode& node = *controllers_[index];
+    if (!node.replica) return;
+    if (!node.unsynced.empty() && chance(0.5)) node.disk = node.unsynced[below(node.unsynced.size())].state;
+    node.unsynced.clear();
+    counts_.releases_proven += node.coordinator->statistics().settled_by_proof;
+    node.coordinator.reset();
+    node.replica.reset();
+    if (wipes_disk) {
+        node.disk = {};
+        node.disk.disk_id = random_() | 1;
+        wiped_ = {address_of(index), node.disk.disk_id};
+    }
+    node.starts_at = clock_.now() + 200ms + up_to(4s);
+}
+
+void OwnershipWorld::apply(std::size_t index, consensus::Actions&& actions) {
+    ControllerNode& node = *controllers_[index];
+    for (auto& write : actions.writes) {
+        Event stored{.at = clock_.now() + 1ms + up_to(6ms), .kind = Event::Kind::Stored};
+        stored.to = index;
+        stored.incarnation = node.incarnation;
+        stored.token = write.token;
+        node.unsynced.push_back(std::move(write));
+        push(std::move(stored));
+    }
+    for (const auto& message : actions.messages) {
+        Event sent{.at = clock_.now() + 1ms + up_to(chance(0.02) ? 400ms : 5ms)};
+        sent.from = index;
+        for (std::size_t i = 0; i < kControllers; ++i)
+            if (address_of(i) == message.to) sent.to = i;
+        sent.bytes = message.bytes;
+        if (!cut_links_.contains({sent.from, sent.to}) && !chance(0.01)) push(std::move(sent));
+    }
+    if (actions.entry_changed && node.coordinator) node.coordinator->on_entry_committed();
+}
+
+void OwnershipWorld::tick_controllers() {
+    const TimePoint now = clock_.now();
+    for (std::size_t i = 0; i < kControllers; ++i) {
+        ControllerNode& node = *controllers_[i];
+        if (!node.replica && now >= node.starts_at) start_controller(i, false);
+        if (!node.runs()) continue;
+        consensus::Actions actions;
+        if (const auto due = node.replica->next_deadline(); due && *due <= now)
+            node.replica->tick(now, actions);
+        if (now >= node.next_read_at) {
+            node.next_read_at = now + kReadInterval;
+            node.replica->quorum_read(++last_order_, now + kReadTimeout, now, actions);
+        }
+        apply(i, std::move(actions));
+        for (auto& [id, server] : node.servers) {
+            const bool is_running =
+                server.state == registry::State::InService || server.state == registry::State::Draining;
+            if (is_running && now - server.last_called_at > kExpiry) server.state = registry::State::Expired;
+        }
+        node.coordinator->tick(now);
+    }
+    replace_wiped_voter();
+}
+
+// As the voter reconciler does: the emptied disk takes the place of the former one at its address.
+void OwnershipWorld::replace_wiped_voter() {
+    if (!wiped_) return;
+    for (std::size_t i = 0; i < kControllers; ++i) {
+        ControllerNode& node = *controllers_[i];
+        if (!node.runs() || address_of(i) == wiped_->address || !node.is_quorum_held()) continue;
+        std::vector<consensus::Replica> voters = node.committed_entry().voters;
+        if (std::find(voters.begin(), voters.end(), *wiped_) != voters.end()) return wiped_.reset();
+        for (consensus::Replica& voter : voters)
+            if (voter.address == wiped_->address) voter = *wiped_;
+        std::sort(voters.begin(), voters.end());
+        consensus::Actions actions;
+        node.replica->change_voters(node.committed_entry().voters, voters, clock_.now(), actions);
+        return apply(i, std::move(actions));
+    }
+}
+
+void OwnershipWorld::record_registry(std::size_t controller, const registry::Heartbeat& heartbeat) {
+    registry::Server& known = controllers_[controller]->servers[heartbeat.server.id];
+    if (heartbeat.server.call_count < known.call_count || known.state == registry::State::Departed) return;
+    known = heartbeat.server;
+    known.last_called_at = clock_.now();
+}
+
+// ---- servers ----
+
+void OwnershipWorld::add_server() {
+    auto server = std::make_unique<ServerNode>();
+    server->id = "i-" + std::to_string(servers_.size());
+    server->clock_rate = 1.0 - 0.02 * std::uniform_real_distribution<>()(random_);
+    server->next_call_at = clock_.now() + up_to(500ms);
+    server->controller = below(kControllers);
+    servers_.push_back(std::move(server));
+}
+
+void OwnershipWorld::step_server(std::size_t index) {
+    ServerNode& server = *servers_[index];
+    if (!server.is_up) return;
+    const TimePoint now = clock_.now();
+    if (now >= server.ends_at) {
+        server.is_up = false;
+        return;
+    }
+    if (server.open_call != 0 && now - server.call_sent_at >= kAnswerLimit) {
+        server.open_call = 0;
+        server.controller = (server.controller + 1) % kControllers;
+        server.next_call_at = now + up_to(200ms);
+    }
+    if (server.open_call == 0 && now >= server.next_call_at) send_heartbeat(index);
+}
+
+void OwnershipWorld::send_heartbeat(std::size_t index) {
+    ServerNode& server = *servers_[index];
+    const TimePoint now = clock_.now();
+    Event call{.at = now + 1ms + up_to(chance(0.05) ? 3s : 20ms), .kind = Event::Kind::Heartbeat};
+    call.from = index;
+    call.to = server.controller;
+    call.token = server.open_call = ++server.call_count;
+    call.sent_at = server.call_sent_at = now;
+    registry::Server& told = call.heartbeat.server;
+    told.id = server.id;
+    told.service = kService;
+    told.address = "10.2.0." + std::to_string(index) + ":80";
+    told.state = server.is_draining ? registry::State::Draining : registry::State::InService;
+    told.call_count = server.call_count;
+    call.heartbeat.holds = {server.holds.held(now), server.released};
+    // A cut holds bytes up for as long as it lasts, or for good.
+    if (cut_calls_.contains({index, server.controller})) {
+        if (chance(0.5)) return;
+        call.at = std::max(call.at, heal_at_ + up_to(50ms));
+    }
+    if (chance(0.03)) {
+        Event again = call;
+        again.at += up_to(6s);
+        again.to = below(kControllers);
+        push(std::move(again));
+    }
+    push(std::move(call));
+}
+
+void OwnershipWorld::on_heartbeat(const Event& event) {
+    ControllerNode& node = *controllers_[event.to];
+    record_registry(event.to, event.heartbeat);
+    for (std::size_t i = 0; i < kControllers; ++i) {
+        if (i == event.to || cut_links_.contains({event.to, i})) continue;
+        Event told{.at = clock_.now() + 20ms + up_to(300ms), .kind = Event::Kind::RegistryChange};
+        told.to = i;
+        told.heartbeat = event.heartbeat;
+        push(std::move(told));
+    }
+    node.coordinator->on_heartbeat(event.heartbeat);
+    Event answer{.kind = Event::Kind::Answer};
+    answer.grant = node.coordinator->grant_for(kService, event.heartbeat.server.id);
+    counts_.unconfirmed_answers += answer.grant.kind == KeyGrant::Kind::Unconfirmed;
+    // The process may freeze between the decision and the sending.
+    answer.at = clock_.now() + 1ms + up_to(chance(0.05) ? 4s : 20ms);
+    answer.from = event.to;
+    answer.to = event.from;
+    answer.token = event.token;
+    answer.sent_at = event.sent_at;
+    push(std::move(answer));
+}
+
+void OwnershipWorld::on_answer(const Event& event) {
+    ServerNode& server = *servers_[event.to];
+    if (!server.is_up) return;
+    const TimePoint now = clock_.now();
+    const bool is_expected = server.open_call == event.token && now - event.sent_at < kAnswerLimit;
+    if (!is_expected && !lenient_servers_) return;
+    if (event.grant.kind == KeyGrant::Kind::Unconfirmed) {
+        if (!is_expected) return;
+        server.open_call = 0;
+        server.controller = (server.controller + 1) % kControllers;
+        server.next_call_at = now + 20ms + up_to(200ms);
+        return;
+    }
+    if (is_expected) {
+        server.open_call = 0;
+        server.controller = event.from;
+        server.released.clear();
+        server.next_call_at = now + kHeartbeat - 75ms + up_to(150ms);
+    }
+    if (event.grant.kind == KeyGrant::Kind::Rows) take_grant(server, event.grant, event.sent_at);
+    if (!server.released.empty()) server.next_call_at = now + 100ms;
+    if (is_expected && server.is_draining && server.ends_at == TimePoint::max())
+        server.ends_at = now + kDrainTime + up_to(3s);
+}
+
+void OwnershipWorld::take_grant(ServerNode& server, const KeyGrant& grant, TimePoint sent_at) {
+    const TimePoint now = clock_.now();
+    const TimePoint until =
+        sent_at +
+        Duration(static_cast<Duration::rep>(static_cast<double>(grant.hold.count()) / server.clock_rate));
+    server.holds.begin_answer();
+    for (const ownership::Assignment& row : grant.rows) {
+        if (!server.holds.take(row.keys, row.fence, until)) {
+            ++counts_.refused_rows;
+            continue;
+        }
+        ++counts_.takes;
+        if (until > now) check_alone(server, row.keys);
+    }
+    for (const ownership::KeyRange& keys : server.holds.release_rest(now))
+        server.released.push_back({keys, "5c0e"});
+}
+
+void OwnershipWorld::check_alone(const ServerNode& server, const ownership::KeyRange& keys) const {
+    for (const auto& other : servers_) {
+        if (other.get() == &server || !other->is_up) continue;
+        cr_assert(!other->holds.holds_any(keys, clock_.now()), "seed %lu: %s and %s hold a key of %u to %u",
+                  static_cast<unsigned long>(seed_), server.id.c_str(), other->id.c_str(), keys.first,
+                  keys.last);
+    }
+}
+
+// ---- time ----
+
+void OwnershipWorld::deliver(Event event) {
+    if (event.kind == Event::Kind::Answer) return on_answer(event);
+    ControllerNode& node = *controllers_[event.to];
+    if (!node.replica) return;
+    if (!node.runs()) {    // it reads what has come once it thaws
+        event.at = node.frozen_until + up_to(5ms);
+        return push(std::move(event));
+    }
+    consensus::Actions actions;
+    switch (event.kind) {
+        case Event::Kind::Consensus:
+            node.replica->on_message(address_of(event.from), event.bytes, clock_.now(), actions);
+            return apply(event.to, std::move(actions));
+        case Event::Kind::Stored: {
+            if (event.incarnation != node.incarnation) return;
+            const auto written = std::find_if(node.unsynced.begin(), node.unsynced.end(),
+                                              [&](const auto& write) { return write.token == event.token; });
+            if (written != node.unsynced.end()) {
+                node.disk = written->state;
+                node.unsynced.erase(node.unsynced.begin(), written + 1);
+            }
+            node.replica->on_stored(event.token, clock_.now(), actions);
+            return apply(event.to, std::move(actions));
+        }
+        case Event::Kind::Heartbeat: return on_heartbeat(event);
+        case Event::Kind::RegistryChange: return record_registry(event.to, event.heartbeat);
+        case Event::Kind::Answer: break;
+    }
+}
+
+void OwnershipWorld::heal() {
+    cut_links_.clear();
+    cut_calls_.clear();
+    heal_at_ = TimePoint::max();
+}
+
+void OwnershipWorld::strike() {
+    ++counts_.faults;
+    const std::size_t victim = below(kControllers);
+    const auto up_servers = static_cast<std::size_t>(
+        std::count_if(servers_.begin(), servers_.end(), [](const auto& server) { return server->is_up; }));
+    ServerNode& server = *servers_[below(servers_.size())];
+    switch (below(10)) {
+        case 0: return stop_controller(victim, false);
+        case 1:
+            for (std::size_t i = 0; i < kControllers; ++i) stop_controller(i, false);
+            return;
+        case 2: {
+            const bool all_run = std::all_of(controllers_.begin(), controllers_.end(),
+                                             [](const auto& node) { return node->runs(); });
+            if (all_run && !wiped_ && cut_links_.empty()) stop_controller(victim, true);
+            return;
+        }
+        case 3: controllers_[victim]->frozen_until = clock_.now() + up_to(6s); return;
+        case 4:    // one machine is cut off from the others, perhaps one way
+            for (std::size_t i = 0; i < kControllers; ++i) {
+                if (i == victim) continue;
+                cut_links_.insert({victim, i});
+                if (chance(0.6)) cut_links_.insert({i, victim});
+            }
+            heal_at_ = clock_.now() + 500ms + up_to(8s);
+            return;
+        case 5:    // a server reaches some of the controllers only
+            for (std::size_t s = 0; s < servers_.size(); ++s)
+                if (chance(0.5)) cut_calls_.insert({s, victim});
+            heal_at_ = clock_.now() + 500ms + up_to(8s);
+            return;
+        case 6:
+            if (up_servers > 2) server.is_up = false;
+            return;
+        case 7:
+            if (up_servers > 2) server.is_draining = true;
+            server.next_call_at = clock_.now();
+            return;
+        case 8:
+            if (servers_.size() < kMaxServers) add_server();
+            return;
+        default:    // a false report
+            if (controllers_[victim]->replica) {
+                for (auto& [id, known] : controllers_[victim]->servers)
+                    if (id == server.id) known.state = registry::State::Expired;
+            }
+            return;
+    }
+}
+
+void OwnershipWorld::run(Duration fault_time, Duration total_time) {
+    const TimePoint start = clock_.now();
+    TimePoint next_strike = start + 4s + up_to(4s);
+    while (clock_.now() < start + total_time) {
+        clock_.time += kStep;
+        const TimePoint now = clock_.now();
+        if (now >= heal_at_) heal();
+        if (now >= next_strike && now < start + fault_time) {
+            strike();
+            next_strike = now + (chance(0.4) ? up_to(500ms) : up_to(4s));
+        }
+        while (!events_.empty() && events_.top().at <= now) {
+            Event event = events_.top();
+            events_.pop();
+            deliver(std::move(event));
+        }
+        tick_controllers();
+        for (std::size_t i = 0; i < servers_.size(); ++i) step_server(i);
+    }
+    for (const auto& node : controllers_)
+        if (node->coordinator) counts_.releases_proven += node->coordinator->statistics().settled_by_proof;
+}
+
+void OwnershipWorld::check_progress() const {
+    const auto seed = static_cast<unsigned long>(seed_);
+    for (const auto& node : controllers_) {
+        cr_assert(node->runs(), "seed %lu", seed);
+        const ownership::OwnershipTable& table = node->coordinator->table();
+        cr_assert(table.services.contains(kService), "seed %lu: no table", seed);
+        for (const ownership::Assignment& row : table.services.at(kService)) {
+            const auto owner = std::find_if(servers_.begin(), servers_.end(),
+                                            [&](const auto& server) { return server->id == row.owner; });
+            cr_assert(row.settled && owner != servers_.end() && (*owner)->is_up,
+                      "seed %lu: keys %u to %u of %s have no owner", seed, row.keys.first, row.keys.last,
+                      row.owner.c_str());
+            const std::vector<ownership::HeldRange> held = (*owner)->holds.held(clock_.now());
+            const bool is_held = std::any_of(held.begin(), held.end(), [&](const auto& range) {
+                return range.fence == row.fence && range.keys.contains(row.keys);
+            });
+            cr_assert(is_held, "seed %lu: %s does not hold %u to %u", seed, row.owner.c_str(), row.keys.first,
+                      row.keys.last);
+        }
+    }
+}
+
+}    // namespace shaletray::controller::test
--- a/tests/gateway/response_test_site.h
+++ b/tests/gateway/response_test_site.h
@@ -38,6 +38,7 @@
     Loop loop;
     Counters counters;
     http_mapping::UpstreamHosts hosts{{{"a"}, 300ms}};
+    ownership::OwnerMap owners;
     quota::QuotaBalancer balancer;
     http_mapping::RequestMapper request_mapper;
     std::optional<gateway::RequestDispatcher> dispatcher;
@@ -49,7 +50,8 @@
         gateway::DispatcherSettings dispatcher_settings;
         dispatcher_settings.seed = seed;
         dispatcher_settings.pipelines.retry_slack = 5000.0;
-        dispatcher.emplace(dispatcher_settings, loop.reactor, loop.timers, counters, hosts, balancer, [] {});
+        dispatcher.emplace(dispatcher_settings, loop.reactor, loop.timers, counters, hosts, owners, balancer,
+                           [] {});
         for (int index = 0; index < count; ++index)
             servers.push_back(std::make_unique<ScriptedServer>(fmt::format("i-{}", ++last_server_number_)));
         auto configuration_index =
