--- a/tests/controller/ownership_world.h
+++ b/tests/controller/ownership_world.h
@@ -73,6 +73,8 @@
 
     std::uint64_t below(std::uint64_t limit) { return random_() % limit; }
     bool chance(double probability) { return std::uniform_real_distribution<>()(random_) < probability; }
+    // Of what is late, lost or repeated: in calm times, nothing is.
+    bool disturbed(double probability) { return is_disturbed_ && chance(probability); }
     Duration up_to(Duration limit) { return Duration(below(static_cast<std::uint64_t>(limit.count()))); }
     void push(Event event);
 
@@ -105,6 +107,7 @@
     std::set<std::pair<std::size_t, std::size_t>> cut_links_;    // between controllers, from and to
     std::set<std::pair<std::size_t, std::size_t>> cut_calls_;    // from a server to a controller
     TimePoint heal_at_ = TimePoint::max();
+    bool is_disturbed_ = true;
     std::optional<consensus::Replica> wiped_;    // not a voter yet
     std::uint64_t last_order_ = 0, last_incarnation_ = 0;
     Counts counts_;
