Tests of key ownership where it meets the wire: heartbeats, answers, subscription, register, routing

Change: tests of rows in heartbeats and answers, of the table in the register's entries, of deltas to gateways, of routing by owner.

--- a/tests/cluster/registry/heartbeat_test.cpp
+++ b/tests/cluster/registry/heartbeat_test.cpp
@@ -29,6 +29,27 @@
     cr_assert(minimal.value().server.capacity == 3 && minimal->server.revision == "v2");
 }
 
+Test(heartbeat, tells_the_keys_that_a_server_holds_and_leaves_out_malformed_rows) {
+    const auto with_rows = [](const std::string& held, const std::string& released) {
+        return parse_heartbeat(
+                   "i", R"({"address":"a:1","system_info":{"service":"s"},"status":{"state":"in_service",)"
+                        R"("call_count":1},"held_duties":)" +
+                            held + R"(,"released":)" + released + "}")
+            .value();
+    };
+    const Heartbeat good = with_rows("[[0,4095,7],[9000,9000,12]]", R"([[4096,65535,"5c0e"]])");
+    cr_assert(good.malformed_rows == 0);
+    cr_assert(good.holds.held == std::vector<ownership::HeldRange>({{{0, 4095}, 7}, {{9000, 9000}, 12}}));
+    cr_assert(good.holds.released == std::vector<ownership::ReleasedRange>({{{4096, 65535}, "5c0e"}}));
+    for (const std::string row : {"[5,4,1]", "[0,65536,1]", "[-1,4,1]", "[0,1]", "[0,1,-1]", "[0,1,\"f\"]",
+                                  "7", "[0.5,2,1]", "[0,1,2,3]"}) {
+        const Heartbeat bad = with_rows("[" + row + ",[1,2,3]]", "[]");
+        cr_assert(bad.malformed_rows == 1 && bad.holds.held.size() == 1, "%s", row.c_str());
+    }
+    cr_assert(with_rows("{}", "7").malformed_rows == 2);
+    cr_assert(with_rows("null", "null").malformed_rows == 0);
+}
+
 Test(heartbeat, error_names_the_malformed_field) {
     const auto error_of = [](std::string_view body) {
         return boost::leaf::try_handle_all(
--- a/tests/controller/api/response_test.cpp
+++ b/tests/controller/api/response_test.cpp
@@ -19,6 +19,20 @@
     cr_assert(extra_headers(later) == "Retry-After: 0.1\r\n");
 }
 
+Test(response, grants_keys_as_rows_with_fence_and_handover) {
+    using namespace std::chrono_literals;
+    std::vector<ownership::Assignment> rows(2);
+    rows[0] = {{0, 4095}, "i-1", 7, 7, true, "", 0, ""};
+    rows[1] = {{9000, 9999}, "i-1", 12, 13, true, "i-2", 7, "7a21"};
+    cr_assert(
+        call_accepted("a:1", rows, 4s).body ==
+        R"({"heartbeat_target":"a:1","held_duties":[[0,4095,7,""],[9000,9999,12,"7a21"]],"hold":"4000ms"})");
+    cr_assert(call_accepted("", {}, 4s).body == R"({"held_duties":[],"hold":"4000ms"})");
+    rows.assign(48, {{65535, 65535}, "i-1", 999'999'999, 1, true, "", 0, "5c0e7a21d94b36f8"});
+    cr_assert(call_accepted("10.128.0.99:65535", rows, 4s).body.size() <= 4096,
+              "or the server takes none of it");
+}
+
 Test(response, escapes_messages_and_names_the_allowed_method) {
     cr_assert(error(HttpStatus::BadRequest, "a \"b\" \\ c\nd").body == R"({"error":"a \"b\" \\ c d"})");
     const Response rejection = to_response({HttpStatus::MethodNotAllowed, "takes POST", "POST"});
--- a/tests/gateway/control_plane_client_test.cpp
+++ b/tests/gateway/control_plane_client_test.cpp
@@ -127,6 +127,32 @@
     cr_assert(recovered.configuration_changed && client.configuration_index()->config().version == 6);
 }
 
+// An update for a later table than this gateway has is asked for again, and an older table changes nothing.
+Test(control_plane_client, follows_the_owners_of_shard_keys_and_never_goes_back) {
+    ControlPlaneClient client = make_client();
+    client.set_controllers({{.address = "a"}});
+    ControlPlaneClient::Actions actions;
+    client.tick(kStart, 1, actions);
+    const auto deliver = [&](std::uint64_t version, std::uint64_t since, const std::string& owner) {
+        ownership::OwnershipTable table{version, 4s, {}};
+        table.services["s"] = {{{0, 65535}, owner, version, version, true}};
+        subscription::ControlUpdate update;
+        update.incarnation = 7;
+        update.ownership_version = version;
+        update.ownership_since = since;
+        update.ownership_changes = ownership::encode(table);
+        ControlPlaneClient::Actions answers;
+        client.on_message("a", 7, subscription::encode(update), kStart + 1s, answers);
+        return answers.sends.size();
+    };
+    cr_assert(deliver(5, 0, "i-1") == 0);
+    cr_assert(client.owners().find("s", 7)->owner == "i-1");
+    cr_assert(deliver(4, 0, "i-0") == 0 && client.owners().find("s", 7)->owner == "i-1");
+    cr_assert(deliver(9, 8, "i-3") == 1, "it lacks what came between");
+    cr_assert(client.owners().find("s", 7)->owner == "i-1" && client.owners().version() == 5);
+    cr_assert(deliver(9, 5, "i-2") == 0 && client.owners().find("s", 7)->owner == "i-2");
+}
+
 Test(control_plane_client, a_silent_controller_is_replaced_by_another_one) {
     ControlPlaneClient client = make_client();
     client.set_controllers(controllers_named({"a", "b", "c", "d", "e"}));
--- a/tests/gateway/http_mapping/request_mapper_test.cpp
+++ b/tests/gateway/http_mapping/request_mapper_test.cpp
@@ -134,6 +134,25 @@
     cr_assert(sur.accepted().incoming.time_budget == 800ms);
 }
 
+// Only routes to services that divide their keys need one, and it is passed on.
+Test(request_mapper, wants_a_shard_key_where_a_service_of_the_route_divides_its_keys) {
+    RequestMapper mapper;
+    mapper.set_configuration(make_index());
+    const std::string key = "Authorization: Bearer k1\r\n";
+    cr_assert(read_request(mapper, request_text("/claims/1", key)).status() == 0);
+    configuration::Configuration sharded = make_index()->config();
+    sharded.services = {{"pay", "/health", 10, true}};
+    mapper.set_configuration(std::make_shared<const configuration::ConfigurationIndex>(sharded));
+    for (const std::string header :
+         {"", "X-Shard-Key: 65536\r\n", "X-Shard-Key: -1\r\n", "X-Shard-Key: 1x\r\n", "X-Shard-Key:\r\n",
+          "X-Shard-Key: 1\r\nX-Shard-Key: 2\r\n"})
+        cr_assert(read_request(mapper, request_text("/claims/1", key + header)).status() == 400, "%s",
+                  header.c_str());
+    const ReadResult good = read_request(mapper, request_text("/claims/1", key + "X-Shard-Key: 65535\r\n"));
+    cr_assert(good.status() == 0 && good.route_match().shard_key == 65535);
+    cr_assert(good.accepted().incoming.payload.head.find("X-Shard-Key: 65535\r\n") != std::string::npos);
+}
+
 Test(request_mapper, a_request_keeps_the_configuration_under_which_it_arrived) {
     RequestMapper mapper;
     mapper.set_configuration(make_index(1));
@@ -207,7 +226,9 @@
 Test(upstream_codec, tells_an_old_list_of_servers_from_a_key_that_is_not_held) {
     std::vector<MisdirectionReason> reasons;
     const UpstreamCodec codec(
-        [](HostId) { return std::optional<UpstreamCodec::Target>({"i-7", "/health"}); },
+        [](HostId) {
+            return std::optional<UpstreamCodec::Target>({"i-7", "/health"});
+        },
         [&](HostId, MisdirectionReason reason) { reasons.push_back(reason); });
     for (const std::string headers : {"X-Instance-Id: i-8\r\n", "X-Instance-Id: i-7\r\n", ""}) {
         const ParsedResponse response("HTTP/1.1 421 X\r\n" + headers + "Content-Length: 0\r\n\r\n");
--- a/tests/gateway/request_dispatcher_test.cpp
+++ b/tests/gateway/request_dispatcher_test.cpp
@@ -316,3 +316,66 @@
     for (const int status : {200, 500, 502, 503, 504}) cr_assert(statuses[status] > 0, "no %d", status);
     cr_assert(repeated > 0 && statuses[200] > kRequests * kSeeds / 3);
 }
+
+namespace {
+
+// One request with a shard key; the site publishes owners while it is under way.
+ResponseTestClient::Answer ask_sharded(ResponseTestSite& site, bool unsafe, const std::string& id) {
+    ResponseTestClient client(site.listener->address());
+    std::string text = request_text(unsafe, id, "bb");
+    text.insert(text.find("\r\n") + 2, "X-Shard-Key: 4711\r\n");
+    client.send(text);
+    std::optional<ResponseTestClient::Answer> answer;
+    cr_assert(site.run_until([&] { return (answer = client.next_answer()).has_value(); }, 3000));
+    return *answer;
+}
+
+}    // namespace
+
+Test(shards, a_request_goes_to_the_owner_of_its_key_and_to_nobody_else) {
+    ResponseTestSite site(3, 1, true);
+    std::set<std::string> asked;
+    site.choose_behaviour = [&](const ServerRequest& request, bool) {
+        asked.insert(request.target_instance);
+        return ServerBehaviour::Answer;
+    };
+    const ResponseTestClient::Answer nobody = ask_sharded(site, true, "a");
+    cr_assert(nobody.status == 503 && nobody.has_retry_after && asked.empty(), "no owner is known");
+    const std::string owner = site.servers[1]->id;
+    site.publish_owner(owner, 1);
+    for (int i = 0; i < 20; ++i)
+        cr_assert(ask_sharded(site, i % 2 == 0, fmt::format("b{}", i)).status == 200);
+    cr_assert(asked == std::set<std::string>{owner});
+    asked.clear();
+    site.publish_owner(site.servers[2]->id, 2, false, owner);
+    cr_assert(ask_sharded(site, true, "c").status == 200 && asked == std::set<std::string>{owner},
+              "the previous owner may hold the key, the next one may not");
+    site.publish_owner("i-unknown", 3);
+    cr_assert(ask_sharded(site, false, "d").status == 503 && asked == std::set<std::string>{owner});
+}
+
+// What the former owner turned away did not run; it goes to the owner that is known by then, once.
+Test(shards, a_request_that_was_turned_away_goes_to_the_new_owner_once) {
+    for (const bool unsafe : {false, true}) {
+        ResponseTestSite site(3, 1, true);
+        std::uint64_t version = 1;
+        site.publish_owner(site.servers[0]->id, version);
+        std::vector<std::string> asked;
+        bool always_moves = false;
+        site.choose_behaviour = [&](const ServerRequest& request, bool) {
+            asked.push_back(request.target_instance);
+            const bool is_first_owner = request.target_instance == site.servers[0]->id;
+            if (!is_first_owner && !always_moves) return ServerBehaviour::Answer;
+            site.publish_owner(site.servers[is_first_owner ? 1 : 0]->id, ++version);
+            return ServerBehaviour::Overloaded;
+        };
+        cr_assert(ask_sharded(site, unsafe, "a").status == 200);
+        cr_assert(asked.back() == site.servers[1]->id && site.executions["a"] == 1);
+        always_moves = true;
+        asked.clear();
+        site.publish_owner(site.servers[0]->id, ++version);
+        const ResponseTestClient::Answer answer = ask_sharded(site, unsafe, "b");
+        cr_assert(answer.status == 503 && site.executions["b"] == 0);
+        cr_assert(site.arrivals["b"] <= 6, "%d", site.arrivals["b"]);
+    }
+}
--- a/tests/gateway/response_test_site.h
+++ b/tests/gateway/response_test_site.h
@@ -45,7 +45,7 @@
     std::optional<ClientListener> listener;
     std::vector<std::unique_ptr<ScriptedServer>> servers;
 
-    explicit ResponseTestSite(int count, std::uint64_t seed = 1)
+    explicit ResponseTestSite(int count, std::uint64_t seed = 1, bool is_sharded = false)
         : balancer(balancer_settings(), loop.clock.now()) {
         gateway::DispatcherSettings dispatcher_settings;
         dispatcher_settings.seed = seed;
@@ -55,7 +55,7 @@
         for (int index = 0; index < count; ++index)
             servers.push_back(std::make_unique<ScriptedServer>(fmt::format("i-{}", ++last_server_number_)));
         auto configuration_index =
-            std::make_shared<const configuration::ConfigurationIndex>(make_configuration());
+            std::make_shared<const configuration::ConfigurationIndex>(make_configuration(is_sharded));
         request_mapper.set_configuration(configuration_index);
         publish_servers();
         dispatcher->set_configuration(configuration_index);
@@ -79,6 +79,13 @@
         hosts.update(servers_by_id, loop.clock.now());
         dispatcher->on_servers_changed({"pay"});
     }
+    // Announces that this server owns all keys, and whether that is settled.
+    void publish_owner(const std::string& id, std::uint64_t version, bool settled = true,
+                       const std::string& previous_owner = "") {
+        ownership::OwnershipTable table{version, 4s, {}};
+        table.services["pay"] = {{{0, 65535}, id, version, version, settled, previous_owner}};
+        cr_assert(owners.apply(ownership::encode(table)));
+    }
     // Runs turns of a millisecond each. False where the condition did not become true within so many.
     bool run_until(const std::function<bool()>& condition, int max_turns = 15000) {
         int turns_left = max_turns;
@@ -121,7 +128,7 @@
         result.incarnation = 1;
         return result;
     }
-    static configuration::Configuration make_configuration() {
+    static configuration::Configuration make_configuration(bool is_sharded) {
         configuration::Configuration result;
         result.version = 1;
         configuration::Route pay_route;
@@ -138,7 +145,7 @@
         read_route.path_prefix = "/read/";
         read_route.kind = configuration::RouteKind::Idempotent;
         result.routes = {pay_route, read_route};
-        result.services = {{"pay", "/health", 0}};
+        result.services = {{"pay", "/health", 0, is_sharded}};
         return result;
     }
 
