Keep the ownership table small: neighbours take single keys, and adjacent rows are merged

Need: each drain left single keys as rows of their own, so that a table grew with its history, up to answers above 4 KiB. Change: a few keys go to the owner of those beside them; adjacent rows of one owner become one with a new fence; answers are bounded.

--- a/src/cluster/ownership/ownership_planner.cpp
+++ b/src/cluster/ownership/ownership_planner.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t kPoorDivisor = 2;
 // Smaller parts of an even share are not worth a move.
 constexpr std::uint32_t kMinMoveDivisor = 16;
+// Rows of a server above which its adjacent ones are merged.
+constexpr std::size_t kMergeAbove = 12;
 // So many of the poorest servers are looked at for the one that learns of its keys first.
 constexpr std::size_t kReceiverChoices = 4;
 // A receiver whose heartbeat comes before the keys are released learns of them only by the one after.
@@ -53,12 +55,24 @@
         });
     }
     void give_to_poor() {
-        const bool is_moving =
-            std::any_of(rows_.begin(), rows_.end(), [](const Assignment& row) { return !row.settled; });
-        if (is_moving) return;
+        if (is_moving()) return;
         for (auto& [id, receiver] : receivers_)
             if (receiver.keys < even_share() / kPoorDivisor) fill(id, receiver);
     }
+    // Adjacent rows of one owner become one where a server has many. Its fence is new, as its bounds are.
+    void merge_rows() {
+        const bool is_fragmented = std::any_of(receivers_.begin(), receivers_.end(), [](const auto& entry) {
+            return entry.second.rows > kMergeAbove;
+        });
+        if (!is_fragmented || is_moving()) return;
+        Assignments merged;
+        for (Assignment& row : rows_) {
+            const bool joins = !merged.empty() && merged.back().owner == row.owner;
+            if (joins) keep_as(merged.back(), row.keys.last);
+            else merged.push_back(std::move(row));
+        }
+        rows_ = std::move(merged);
+    }
     Assignments take_rows() {
         std::sort(rows_.begin(), rows_.end(),
                   [](const Assignment& a, const Assignment& b) { return a.keys.first < b.keys.first; });
@@ -73,6 +87,10 @@
         Duration next_heartbeat_in{0};
     };
 
+    bool is_moving() const {
+        return std::any_of(rows_.begin(), rows_.end(), [](const Assignment& row) { return !row.settled; });
+    }
+
     std::uint32_t even_share() const { return kKeyCount / static_cast<std::uint32_t>(receivers_.size()); }
 
     void count_row(const std::string& owner, std::uint32_t keys, std::size_t rows) {
@@ -96,26 +114,43 @@
         Assignments former = std::exchange(rows_, {});
         for (std::size_t i = 0; i < former.size(); ++i) {
             if (moves[i] == Move::None) rows_.push_back(std::move(former[i]));
-            else if (moves[i] == Move::Whole) distribute(former[i].keys, "", 0);
+            else if (moves[i] == Move::Whole) move_whole(former, i);
             else keep_first_key(std::move(former[i]));
         }
     }
 
+    // A few keys go to the owner of the keys beside them, so that rows can be merged later.
+    void move_whole(const Assignments& former, std::size_t index) {
+        const KeyRange& keys = former[index].keys;
+        if (keys.size() < even_share() / kMinMoveDivisor) {
+            for (const std::size_t neighbour : {index + 1, index - 1}) {
+                if (neighbour >= former.size() || !is_in_service(former[neighbour].owner)) continue;
+                return give(former[neighbour].owner, keys, "", 0);
+            }
+        }
+        distribute(keys, "", 0);
+    }
+
     void keep_first_key(Assignment row) {
         const KeyRange rest{static_cast<Key>(row.keys.first + 1), row.keys.last};
         const Assignment kept = keep(std::move(row), static_cast<Key>(rest.first - 1));
         distribute(rest, kept.owner, kept.previous_fence);
     }
 
-    // The part of a row that its owner keeps, with a new fence.
-    Assignment keep(Assignment row, Key last) {
+    // Changes a row's end, which gives it a new fence.
+    void keep_as(Assignment& row, Key last) const {
         row.previous_fence = row.fence == next_version_ ? row.previous_fence : row.fence;
         row.keys.last = last;
         row.fence = row.changed = next_version_;
         row.previous_owner.clear();
         row.handover.clear();
-        rows_.push_back(std::move(row));
-        return rows_.back();
+    }
+
+    // Adds the part of a row that its owner keeps.
+    Assignment keep(Assignment row, Key last) {
+        keep_as(row, last);
+        rows_.push_back(row);
+        return row;
     }
 
     void distribute(KeyRange range, const std::string& previous_owner, std::uint64_t previous_fence) {
@@ -243,6 +278,7 @@
     service_plan.move_from_gone();
     service_plan.move_from_leaving();
     service_plan.give_to_poor();
+    service_plan.merge_rows();
     return service_plan.take_rows();
 }
 
--- a/src/cluster/ownership/ownership_planner.h
+++ b/src/cluster/ownership/ownership_planner.h
@@ -26,11 +26,15 @@
 
 // The rows of an answer to a heartbeat have to stay within 4 KiB.
 constexpr std::size_t kMaxRowsPerServer = 48;
+// Beyond the planned number for the case that no server has room; what is above is granted to nobody.
+constexpr std::size_t kMaxRowsPerAnswer = 64;
 
 // A first assignment divides the keys evenly. After that:
 //  - keys of servers that are gone go to others whole, and have to wait (see SettlementTracker);
 //  - servers that leave keep one key of each row until the others are released, so that the release can be
 //  proven;
+//  - a few keys go to the owner of those beside them, and adjacent rows of one owner are merged where it has
+//  many;
 //  - servers that came get an even part, from those that have the most, unless moves are under way.
 class OwnershipPlanner {
 public:
--- a/src/controller/ownership_coordinator.cpp
+++ b/src/controller/ownership_coordinator.cpp
@@ -86,7 +86,8 @@
     ++statistics_.granted;
     grant.kind = KeyGrant::Kind::Rows;
     grant.hold = table_.hold;
-    for (const Assignment* row : ownership::granted_rows(rows->second, server_id)) grant.rows.push_back(*row);
+    for (const Assignment* row : ownership::granted_rows(rows->second, server_id))
+        if (grant.rows.size() < ownership::kMaxRowsPerAnswer) grant.rows.push_back(*row);
     return grant;
 }
 
--- a/tests/cluster/ownership/ownership_planner_test.cpp
+++ b/tests/cluster/ownership/ownership_planner_test.cpp
@@ -85,6 +85,29 @@
     }
 }
 
+// Drains leave single keys behind, which go to their neighbours and are merged with theirs: a table does not
+// grow with its history.
+Test(ownership_planner, a_table_stays_small_over_many_drains) {
+    OwnershipTable table = first_table();
+    Servers servers = kFour;
+    std::uint64_t version = 1;
+    std::size_t largest = 0;
+    for (int drain = 0; drain < 200; ++drain) {
+        servers["n" + std::to_string(drain)];
+        servers.begin()->second.state = ServerInfo::State::Leaving;
+        for (int step = 0; step < 4; ++step) {
+            const OwnershipTable next = planned(table, servers, ++version);
+            check_step(table, next);
+            table = settled(next, ++version);
+        }
+        cr_assert(keys_of(table, servers.begin()->first) == 0);
+        servers.erase(servers.begin());
+        largest = std::max(largest, table.services.at("saves").size());
+    }
+    cr_assert(largest < 150, "%zu rows", largest);
+    for (const auto& [id, server] : servers) cr_assert(keys_of(table, id) > kKeyCount / 10, "%s", id.c_str());
+}
+
 // Servers come, leave and go in any order, and waits end at any time.
 Test(ownership_planner, every_history_keeps_one_owner_for_each_key) {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
