--- a/src/cluster/ownership/settlement_tracker.cpp
+++ b/src/cluster/ownership/settlement_tracker.cpp
@@ -105,8 +105,10 @@
         if (!next) next = table_;
         next->version = next_version;
         Assignments& rows = next->services.at(id.service);
-        const auto row = std::find_if(rows.begin(), rows.end(),
-                                      [&](const Assignment& candidate) { return candidate.keys == id.keys; });
+        const KeyRange& keys = id.keys;
+        const auto row = std::find_if(rows.begin(), rows.end(), [&keys](const Assignment& candidate) {
+            return candidate.keys == keys;
+        });
         row->settled = true;
         row->changed = next_version;
         row->handover = unsettled.handover;
--- a/tests/cluster/ownership/owner_map_test.cpp
+++ b/tests/cluster/ownership/owner_map_test.cpp
@@ -62,7 +62,10 @@
     std::mt19937_64 random(1);
     for (int i = 0; i < 2000; ++i) {
         std::string damaged = bytes.substr(0, random() % (bytes.size() + 1));
-        if (!damaged.empty()) damaged[random() % damaged.size()] ^= static_cast<char>(1 + random() % 255);
+        if (!damaged.empty()) {
+            char& byte = damaged[random() % damaged.size()];
+            byte = static_cast<char>(static_cast<unsigned char>(byte) ^ (1 + random() % 255));
+        }
         OwnerMap map;
         const auto applied = map.apply(damaged);
         if (!applied) cr_assert(map.version() == 0 && map.row_count() == 0);
