Bound what could go wrong around key ownership: shutdown, ports, settings, idle ticks

Cause: found by reading the new code again: a time-out that is not there overflowed at all but the first voter; a heartbeat of 0 divided by zero; a request that is rejected while the gateway ends could be sent again and stay unanswered; a metrics port that is in use ended the process; controllers without such services woke ten times a second. Change: each is bounded.

--- a/src/base/net/api_server.cpp
+++ b/src/base/net/api_server.cpp
@@ -334,4 +334,15 @@
         });
 }
 
+std::unique_ptr<ApiServer> serve_metrics(Reactor& reactor, const std::string& address,
+                                         std::function<bool()> is_ready,
+                                         std::function<std::string()> describe_metrics) {
+    if (address.empty()) return nullptr;
+    try {
+        return serve_readiness(reactor, address, std::move(is_ready), std::move(describe_metrics));
+    } catch (const Poco::Exception&) {
+        return nullptr;
+    }
+}
+
 }    // namespace shaletray
--- a/src/base/net/api_server.h
+++ b/src/base/net/api_server.h
@@ -128,5 +128,10 @@
 std::unique_ptr<ApiServer> serve_readiness(Reactor& reactor, const std::string& address,
                                            std::function<bool()> is_ready,
                                            std::function<std::string()> describe_metrics = {});
+// The same at a further address, for those who collect metrics. Null where the address is empty or cannot be
+// used: a process serves without it.
+std::unique_ptr<ApiServer> serve_metrics(Reactor& reactor, const std::string& address,
+                                         std::function<bool()> is_ready,
+                                         std::function<std::string()> describe_metrics);
 
 }    // namespace shaletray
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -102,10 +102,11 @@
     };
     call_server_ = std::make_unique<ApiServer>(reactor_, ApiServer::listen(settings_.control_address), limits,
                                                handle_call, control_api::max_body_size);
-    if (!settings_.metrics_address.empty())
-        metrics_server_ = serve_readiness(
-            reactor_, settings_.metrics_address, [this] { return consensus_.is_quorum_held(); },
-            [this] { return metrics_text(); });
+    metrics_server_ = serve_metrics(
+        reactor_, settings_.metrics_address, [this] { return consensus_.is_quorum_held(); },
+        [this] { return metrics_text(); });
+    if (!settings_.metrics_address.empty() && !metrics_server_)
+        log_event(LogLevel::Warning, "metrics_not_served", {log_field("address", settings_.metrics_address)});
     if (settings_.readiness_address.empty()) return;
     readiness_server_ = serve_readiness(reactor_, settings_.readiness_address,
                                         [this] { return consensus_.is_quorum_held(); });
--- a/src/controller/ownership_coordinator.cpp
+++ b/src/controller/ownership_coordinator.cpp
@@ -16,6 +16,8 @@
 
 // How often changes of the servers are looked at.
 constexpr Duration kPlanInterval = 100ms;
+// Of settings that state none, or one that is too short to be kept.
+constexpr Duration kMinHeartbeatInterval = 10ms;
 // The first voter by address proposes at once, each of the others so much later than the one before it.
 constexpr Duration kProposalStagger = 500ms;
 // All servers have called by then, each at its own time within the heartbeat interval.
@@ -38,7 +40,9 @@
       servers_(servers),
       callbacks_(std::move(callbacks)),
       started_at_(clock.now()),
-      log_limiter_(1s) {}
+      log_limiter_(1s) {
+    settings_.heartbeat_interval = std::max(settings_.heartbeat_interval, kMinHeartbeatInterval);
+}
 
 void OwnershipCoordinator::on_entry_committed() {
     const std::string& bytes = register_.committed_entry().ownership_table;
@@ -51,7 +55,7 @@
     tracker_.on_table(table_, clock_.now());
     log_event(LogLevel::Info, "ownership_changed",
               {log_field("version", table_.version), log_field("unsettled", unsettled_rows())});
-    wake_at(tracker_.next_deadline());
+    wake_at(clock_.now());
     callbacks_.table_changed(table_);
 }
 
@@ -115,8 +119,13 @@
 void OwnershipCoordinator::tick(TimePoint now) {
     if (now < next_tick_) return;
     next_tick_ = now + kPlanInterval;
-    if (sharded_services_.empty() && table_.services.empty()) return;
-    propose_settled(now, register_.is_voter() && now >= tracker_.next_deadline() + proposal_delay());
+    if (sharded_services_.empty() && table_.services.empty()) {
+        next_tick_ = TimePoint::max();    // until there is something to do
+        return;
+    }
+    // Subtracted from the time, as there may be no deadline.
+    const bool is_wait_over = now - proposal_delay() >= tracker_.next_deadline();
+    propose_settled(now, register_.is_voter() && is_wait_over);
     propose_plan(now);
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -69,10 +69,10 @@
         [this] { return ready(); });
     readiness_server_ = serve_readiness(
         reactor_, settings_.readiness_address, [this] { return ready(); }, [this] { return metrics_text(); });
-    if (!settings_.metrics_address.empty())
-        metrics_server_ = serve_readiness(
-            reactor_, settings_.metrics_address, [this] { return ready(); },
-            [this] { return metrics_text(); });
+    metrics_server_ = serve_metrics(
+        reactor_, settings_.metrics_address, [this] { return ready(); }, [this] { return metrics_text(); });
+    if (!settings_.metrics_address.empty() && !metrics_server_)
+        log_event(LogLevel::Warning, "metrics_not_served", {log_field("address", settings_.metrics_address)});
     log_event(LogLevel::Info, "gateway_started",
               {log_field("address", address_), log_field("incarnation", incarnation_),
                log_field("zone", settings_.zone)});
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -204,7 +204,7 @@
 // A rejected request was not executed: it goes to the server that owns its key now, if that is another one
 // than it was sent to. Once, so that a request costs its service one more arrival at most.
 bool RequestDispatcher::send_to_new_owner(PendingRequest& pending) {
-    if (!pending.copy) return false;
+    if (!pending.copy || is_abandoning_) return false;
     IncomingRequest incoming = std::move(*pending.copy);
     pending.copy.reset();
     const std::optional<HostId> owner = owner_of(pending.pipeline->service, *pending.route_match().shard_key);
@@ -272,7 +272,9 @@
         remove_from_queue(*found->second);
         reject_over_quota(*found->second, AdmissionOutcome::RejectedAfterWait, found->second->retry_after);
     }
+    is_abandoning_ = true;    // what is rejected now is answered now
     pipelines_.abandon_all_requests();
+    is_abandoning_ = false;
 }
 
 Duration RequestDispatcher::random_retry_delay() {
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -99,6 +99,7 @@
     std::unordered_map<std::string, std::deque<std::uint64_t>> queued_;
     std::size_t queued_count_ = 0;
     std::uint64_t last_ticket_ = 0;
+    bool is_abandoning_ = false;
     Statistics statistics_;
     AdmissionStatistics admissions_;
 };
