--- /dev/null
+++ b/src/cluster/ownership/load_profile.cpp
@@ -0,0 +1,68 @@
+#include "cluster/ownership/load_profile.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shaletray::ownership {
+namespace {
+
+// The part of all weight that goes by the number of keys.
+constexpr double kKeyPart = 0.1;
+// Standard deviations of a sample's count that are put down to chance. (Those of decayed counts are smaller.)
+constexpr double kChanceDeviations = 1.0;
+
+// The largest count up to `limit` for which the condition holds; it holds for zero, and up to some count.
+template <class Holds>
+std::uint32_t largest_count(std::uint32_t limit, const Holds& holds) {
+    std::uint32_t low = 0;
+    std::uint32_t high = limit;
+    while (low < high) {
+        const std::uint32_t middle = (low + high + 1) / 2;
+        if (holds(middle)) low = middle;
+        else high = middle - 1;
+    }
+    return low;
+}
+
+}    // namespace
+
+LoadProfile::LoadProfile(const std::map<Key, double>& requests) {
+    double sum = 0;
+    cumulative_.reserve(requests.size());
+    for (const auto& [key, count] : requests) cumulative_.push_back({key, sum += count});
+}
+
+double LoadProfile::requests_below(std::uint32_t key) const {
+    const auto next =
+        std::lower_bound(cumulative_.begin(), cumulative_.end(), key,
+                         [](const Step& step, std::uint32_t limit) { return step.key < limit; });
+    return next == cumulative_.begin() ? 0.0 : std::prev(next)->requests;
+}
+
+double LoadProfile::weight(const KeyRange& keys) const {
+    const double total = request_count();
+    if (total <= 0) return keys.size();
+    const double requests = requests_below(std::uint32_t{keys.last} + 1) - requests_below(keys.first);
+    return (1 - kKeyPart) * requests / total * kKeyCount + kKeyPart * keys.size();
+}
+
+std::uint32_t LoadProfile::longest_prefix(const KeyRange& keys, double max_weight) const {
+    return largest_count(keys.size(), [&](std::uint32_t count) {
+        return weight({keys.first, static_cast<Key>(keys.first + count - 1)}) <= max_weight;
+    });
+}
+
+std::uint32_t LoadProfile::longest_suffix(const KeyRange& keys, double max_weight) const {
+    return largest_count(keys.size(), [&](std::uint32_t count) {
+        return weight({static_cast<Key>(keys.last - count + 1), keys.last}) <= max_weight;
+    });
+}
+
+bool LoadProfile::exceeds(double weight, double limit) const {
+    const double total = request_count();
+    if (total <= 0) return false;
+    const double weight_of_one = kKeyCount / total;
+    return weight > limit + kChanceDeviations * std::sqrt(weight * weight_of_one);
+}
+
+}    // namespace shaletray::ownership
