Show operators who owns which keys and how busy the busiest server is

Change: controllers answer GET /ownership at the metrics port with the table as JSON, and tell the load of each sharded service's busiest server. Status pages are a list of paths in place of a single text. escape_label stood twice and the set of sharded services was made in three places: one each now.

--- a/src/balancer/operations/metrics.cpp
+++ b/src/balancer/operations/metrics.cpp
@@ -2,21 +2,9 @@
 
 #include <fmt/format.h>
 
-namespace shaletray::operations {
-namespace {
-
-// A label's value: what would end it is escaped.
-std::string escape_label(std::string_view text) {
-    std::string out;
-    for (const char c : text) {
-        if (c == '\\' || c == '"') out += '\\';
-        if (c == '\n') out += "\\n";
-        else out += c;
-    }
-    return out;
-}
+#include "base/common/metric_label.h"
 
-}    // namespace
+namespace shaletray::operations {
 
 std::string format_metrics(const Counters& counters, const ServiceStatus& standing) {
     std::string out;
--- a/src/base/net/api_server.cpp
+++ b/src/base/net/api_server.cpp
@@ -315,31 +315,33 @@
     while (!idle_connections_.empty()) close_connection(*idle_connections_.front());
 }
 
+StatusPage metrics_page(std::function<std::string()> render) {
+    return {"/metrics", "text/plain; version=0.0.4", std::move(render)};
+}
+
 std::unique_ptr<ApiServer> serve_readiness(Reactor& reactor, const std::string& address,
-                                           std::function<bool()> is_ready,
-                                           std::function<std::string()> describe_metrics) {
+                                           std::function<bool()> is_ready, std::vector<StatusPage> pages) {
     ApiServer::Limits limits;
     limits.max_connections = 16;
     limits.max_body_size = limits.max_pending_bytes = 4 * 1024;
-    return std::make_unique<ApiServer>(
-        reactor, ApiServer::listen(address), limits,
-        [ready = std::move(is_ready), metrics = std::move(describe_metrics)](
-            const ApiCall& call, const std::shared_ptr<ApiCaller>& caller) {
-            const std::string_view path = call.target.substr(0, call.target.find('?'));
-            const bool wants_metrics = metrics && path == "/metrics";
-            if (path != "/readiness" && !wants_metrics) caller->send_reply({404});
-            else if (call.method != "GET") caller->send_reply({405, {}, {}, "Allow: GET\r\n"});
-            else if (wants_metrics) caller->send_reply({200, metrics(), "text/plain; version=0.0.4"});
-            else caller->send_reply({ready() ? 200 : 503});
-        });
+    const auto answer = [is_ready = std::move(is_ready), pages = std::move(pages)](
+                            const ApiCall& call, const std::shared_ptr<ApiCaller>& caller) {
+        const std::string_view path = call.target.substr(0, call.target.find('?'));
+        const auto page = std::find_if(pages.begin(), pages.end(),
+                                       [&](const StatusPage& candidate) { return candidate.path == path; });
+        if (path != "/readiness" && page == pages.end()) caller->send_reply({404});
+        else if (call.method != "GET") caller->send_reply({405, {}, {}, "Allow: GET\r\n"});
+        else if (page != pages.end()) caller->send_reply({200, page->render(), page->content_type});
+        else caller->send_reply({is_ready() ? 200 : 503});
+    };
+    return std::make_unique<ApiServer>(reactor, ApiServer::listen(address), limits, answer);
 }
 
-std::unique_ptr<ApiServer> serve_metrics(Reactor& reactor, const std::string& address,
-                                         std::function<bool()> is_ready,
-                                         std::function<std::string()> describe_metrics) {
+std::unique_ptr<ApiServer> serve_status(Reactor& reactor, const std::string& address,
+                                        std::function<bool()> is_ready, std::vector<StatusPage> pages) {
     if (address.empty()) return nullptr;
     try {
-        return serve_readiness(reactor, address, std::move(is_ready), std::move(describe_metrics));
+        return serve_readiness(reactor, address, std::move(is_ready), std::move(pages));
     } catch (const Poco::Exception&) {
         return nullptr;
     }
--- a/src/base/net/api_server.h
+++ b/src/base/net/api_server.h
@@ -123,15 +123,21 @@
     Counters counters_;
 };
 
-// Serves GET /readiness with 200 or 503, for load balancers, and GET /metrics with the text of
-// `describe_metrics`, where there is one; every other request is rejected.
+// What GET of a path is answered with, for operators and for those who collect metrics.
+struct StatusPage {
+    std::string path, content_type;
+    std::function<std::string()> render;
+};
+// GET /metrics, in the Prometheus text format.
+StatusPage metrics_page(std::function<std::string()> render);
+
+// Serves GET /readiness with 200 or 503, for load balancers, and the pages; every other request is rejected.
 std::unique_ptr<ApiServer> serve_readiness(Reactor& reactor, const std::string& address,
                                            std::function<bool()> is_ready,
-                                           std::function<std::string()> describe_metrics = {});
-// The same at a further address, for those who collect metrics. Null where the address is empty or cannot be
-// used: a process serves without it.
-std::unique_ptr<ApiServer> serve_metrics(Reactor& reactor, const std::string& address,
-                                         std::function<bool()> is_ready,
-                                         std::function<std::string()> describe_metrics);
+                                           std::vector<StatusPage> pages = {});
+// The same at a further address, for operators. Null where the address is empty or cannot be used: a process
+// serves without it.
+std::unique_ptr<ApiServer> serve_status(Reactor& reactor, const std::string& address,
+                                        std::function<bool()> is_ready, std::vector<StatusPage> pages);
 
 }    // namespace shaletray
--- a/src/cluster/ownership/key_load_table.cpp
+++ b/src/cluster/ownership/key_load_table.cpp
@@ -20,7 +20,7 @@
 
 }    // namespace
 
-void KeyLoadTable::set_services(const std::set<std::string>& services) {
+void KeyLoadTable::set_services(const std::set<std::string, std::less<>>& services) {
     std::erase_if(services_, [&](const auto& entry) { return !services.contains(entry.first); });
     for (const std::string& service : services) services_.try_emplace(service);
 }
--- a/src/cluster/ownership/key_load_table.h
+++ b/src/cluster/ownership/key_load_table.h
@@ -2,6 +2,7 @@
 // subscribed to it.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -18,7 +19,7 @@
     static constexpr Duration kLoadMemory = std::chrono::seconds(20);
 
     // Only these services are kept.
-    void set_services(const std::set<std::string>& services);
+    void set_services(const std::set<std::string, std::less<>>& services);
     // Samples of unknown services, and such as cannot be, are ignored.
     void add(const KeySamples& samples, TimePoint now);
     // By the number of keys alone where too few requests were seen for so many servers.
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -6,8 +6,10 @@
 #include <utility>
 #include <vector>
 
+#include "base/common/metric_label.h"
 #include "base/runtime/log_sink.h"
 #include "cluster/node/node_membership.h"
+#include "controller/ownership_report.h"
 
 namespace shaletray::controller {
 namespace {
@@ -105,14 +107,17 @@
     };
     call_server_ = std::make_unique<ApiServer>(reactor_, ApiServer::listen(settings_.control_address), limits,
                                                handle_call, control_api::max_body_size);
-    metrics_server_ = serve_metrics(
-        reactor_, settings_.metrics_address, [this] { return consensus_.is_quorum_held(); },
-        [this] { return metrics_text(); });
+    const auto is_ready = [this] { return consensus_.is_quorum_held(); };
+    const auto describe_owners = [this] {
+        return describe_ownership(ownership_.table(), ownership_.busiest_loads());
+    };
+    metrics_server_ = serve_status(reactor_, settings_.metrics_address, is_ready,
+                                   {metrics_page([this] { return metrics_text(); }),
+                                    {"/ownership", "application/json", describe_owners}});
     if (!settings_.metrics_address.empty() && !metrics_server_)
         log_event(LogLevel::Warning, "metrics_not_served", {log_field("address", settings_.metrics_address)});
     if (settings_.readiness_address.empty()) return;
-    readiness_server_ = serve_readiness(reactor_, settings_.readiness_address,
-                                        [this] { return consensus_.is_quorum_held(); });
+    readiness_server_ = serve_readiness(reactor_, settings_.readiness_address, is_ready);
 }
 
 void Controller::run(std::function<void()> on_turn) {
@@ -172,10 +177,7 @@
 }
 
 void Controller::on_configuration(configuration::Configuration parsed) {
-    std::set<std::string> sharded;
-    for (const configuration::Service& service : parsed.services)
-        if (service.is_sharded) sharded.insert(service.name);
-    ownership_.set_sharded_services(std::move(sharded));
+    ownership_.set_sharded_services(configuration::sharded_services(parsed));
     distributor_.publish(std::move(parsed));
 }
 
@@ -302,6 +304,9 @@
     append_value("ownership_proposals_total", ownership.proposals);
     append_value("ownership_releases_proven_total", ownership.settled_by_proof);
     append_value("ownership_malformed_rows_total", calls.malformed_hold_rows);
+    for (const auto& [service, load] : ownership_.busiest_loads())
+        text += fmt::format("controller_ownership_busiest_server_load{{service=\"{}\"}} {:.3f}\n",
+                            escape_label(service), load);
     append_value("failed_writes_total", consensus_.store().failed_writes());
     return text;
 }
--- a/src/controller/ownership_coordinator.cpp
+++ b/src/controller/ownership_coordinator.cpp
@@ -66,7 +66,7 @@
     callbacks_.table_changed(table_);
 }
 
-void OwnershipCoordinator::set_sharded_services(std::set<std::string> services) {
+void OwnershipCoordinator::set_sharded_services(configuration::ServiceNames services) {
     sharded_services_ = std::move(services);
     key_loads_.set_services(sharded_services_);
     wake_at(clock_.now());
@@ -126,6 +126,20 @@
     return count;
 }
 
+std::map<std::string, double> OwnershipCoordinator::busiest_loads() const {
+    std::map<std::string, double> result;
+    for (const auto& [service, load] : balance_.loads) {
+        const auto rows = table_.services.find(service);
+        if (rows == table_.services.end() || load.request_count() <= 0) continue;
+        std::map<std::string, double> weights;
+        for (const Assignment& row : rows->second) weights[row.owner] += load.weight(row.keys);
+        const auto busiest = std::max_element(
+            weights.begin(), weights.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+        result[service] = busiest->second * static_cast<double>(weights.size()) / ownership::kKeyCount;
+    }
+    return result;
+}
+
 // ---- plans ----
 
 void OwnershipCoordinator::tick(TimePoint now) {
--- a/src/controller/ownership_coordinator.h
+++ b/src/controller/ownership_coordinator.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/common/log.h"
+#include "cluster/configuration/sharded_services.h"
 #include "cluster/ownership/key_load_table.h"
 #include "cluster/ownership/ownership_planner.h"
 #include "cluster/ownership/ownership_table.h"
@@ -55,7 +56,7 @@
     // The register's entry is another one.
     void on_entry_committed();
     // The services of the newest configuration whose keys are divided.
-    void set_sharded_services(std::set<std::string> services);
+    void set_sharded_services(configuration::ServiceNames services);
     // A server called; the registry knows of it already.
     void on_heartbeat(const registry::Heartbeat& heartbeat);
     // A gateway told which keys its requests ask for.
@@ -69,6 +70,8 @@
 
     const ownership::OwnershipTable& table() const { return table_; }
     std::size_t unsettled_rows() const;
+    // Of each service of which requests are known: the load of its busiest server, in means of all owners.
+    std::map<std::string, double> busiest_loads() const;
     const Statistics& statistics() const { return statistics_; }
 
 private:
@@ -93,7 +96,7 @@
     std::string table_bytes_;
     ownership::OwnershipTable table_;
     ownership::SettlementTracker tracker_;
-    std::set<std::string> sharded_services_;
+    configuration::ServiceNames sharded_services_;
     std::map<std::string, TimePoint> first_seen_;    // services without rows: when their first server was
     std::map<std::string, TimePoint> most_gone_since_;    // by service, where most owners seem to be gone
     ownership::KeyLoadTable key_loads_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -67,10 +67,10 @@
         *dispatcher_, request_mapper_, ClientCapacity{max_sockets(settings_), settings_.memory_mb}, counters_,
         reactor_, ClientListener::listen(settings_.frontend_address), max_client_sockets(settings_),
         [this] { return ready(); });
-    readiness_server_ = serve_readiness(
-        reactor_, settings_.readiness_address, [this] { return ready(); }, [this] { return metrics_text(); });
-    metrics_server_ = serve_metrics(
-        reactor_, settings_.metrics_address, [this] { return ready(); }, [this] { return metrics_text(); });
+    const std::vector<StatusPage> pages{metrics_page([this] { return metrics_text(); })};
+    const auto is_ready = [this] { return ready(); };
+    readiness_server_ = serve_readiness(reactor_, settings_.readiness_address, is_ready, pages);
+    metrics_server_ = serve_status(reactor_, settings_.metrics_address, is_ready, pages);
     if (!settings_.metrics_address.empty() && !metrics_server_)
         log_event(LogLevel::Warning, "metrics_not_served", {log_field("address", settings_.metrics_address)});
     log_event(LogLevel::Info, "gateway_started",
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -2,20 +2,11 @@
 
 #include <fmt/format.h>
 
+#include "base/common/metric_label.h"
+
 namespace shaletray::gateway {
 namespace {
 
-// A label's value, with what would end it escaped.
-std::string escape_label(std::string_view text) {
-    std::string escaped;
-    for (const char c : text) {
-        if (c == '\\' || c == '"') escaped += '\\';
-        if (c == '\n') escaped += "\\n";
-        else escaped += c;
-    }
-    return escaped;
-}
-
 void append_value(std::string& out, std::string_view name, double value) {
     out += fmt::format("gateway_{} {}\n", name, value);
 }
--- a/src/gateway/http_mapping/request_mapper.cpp
+++ b/src/gateway/http_mapping/request_mapper.cpp
@@ -82,9 +82,7 @@
 
 void RequestMapper::set_configuration(std::shared_ptr<const configuration::ConfigurationIndex> index) {
     configuration_index_ = std::move(index);
-    sharded_services_.clear();
-    for (const configuration::Service& service : configuration_index_->config().services)
-        if (service.is_sharded) sharded_services_.insert(service.name);
+    sharded_services_ = configuration::sharded_services(configuration_index_->config());
 }
 
 // Whether requests of the route may go to a service whose keys are divided among its servers.
--- a/src/gateway/http_mapping/request_mapper.h
+++ b/src/gateway/http_mapping/request_mapper.h
@@ -12,6 +12,7 @@
 #include "base/http/answer.h"
 #include "cluster/configuration/configuration.h"
 #include "cluster/configuration/configuration_index.h"
+#include "cluster/configuration/sharded_services.h"
 #include "cluster/ownership/ownership_table.h"
 #include "data_plane/proxy/request_mapping.h"
 
@@ -54,7 +55,7 @@
     bool needs_shard_key(const configuration::Route& route) const;
 
     std::shared_ptr<const configuration::ConfigurationIndex> configuration_index_;
-    std::set<std::string, std::less<>> sharded_services_;
+    configuration::ServiceNames sharded_services_;
 };
 
 // A shard key, from 0 to 65535; nothing where it is malformed.
--- a/src/gateway/service_pipelines.cpp
+++ b/src/gateway/service_pipelines.cpp
@@ -148,11 +148,9 @@
     std::shared_ptr<const configuration::ConfigurationIndex> configuration_index) {
     configuration_index_ = std::move(configuration_index);
     health_checks_.clear();
-    sharded_services_.clear();
-    for (const configuration::Service& service : configuration_index_->config().services) {
+    sharded_services_ = configuration::sharded_services(configuration_index_->config());
+    for (const configuration::Service& service : configuration_index_->config().services)
         health_checks_[service.name] = service.health_check;
-        if (service.is_sharded) sharded_services_.insert(service.name);
-    }
     routes_by_service_.clear();
     for (const configuration::Route& route : configuration_index_->config().routes) {
         for (const configuration::WeightedService& target : route.targets) {
--- a/src/gateway/service_pipelines.h
+++ b/src/gateway/service_pipelines.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cluster/configuration/configuration_index.h"
+#include "cluster/configuration/sharded_services.h"
 #include "data_plane/engine/engine.h"
 #include "data_plane/proxy/server_pool.h"
 #include "gateway/http_mapping/upstream_codec.h"
@@ -94,7 +95,7 @@
     // By service; the routes belong to configuration_index_.
     std::unordered_map<std::string, std::vector<const configuration::Route*>> routes_by_service_;
     std::unordered_map<std::string, std::string> health_checks_;    // paths, by service
-    std::set<std::string> sharded_services_;
+    configuration::ServiceNames sharded_services_;
     std::unordered_map<std::string, std::unique_ptr<ServicePipeline>> pipelines_;
     std::map<std::string, MisdirectionCounts> misdirections_by_service_;
     std::uint32_t gateway_count_ = 1;
--- a/tests/base/net/api_server_test.cpp
+++ b/tests/base/net/api_server_test.cpp
@@ -253,6 +253,28 @@
     cr_assert(receive_responses(client, 2, buffer) == Texts{"(408)"});
 }
 
+Test(status_server, answers_get_of_its_pages_and_nothing_else) {
+    SystemClock clock;
+    Timers timers;
+    Reactor reactor{clock, timers};
+    std::vector<StatusPage> pages{metrics_page([] { return "up 1"; }),
+                                  {"/owners", "application/json", [] { return "{}"; }}};
+    const auto server = serve_status(
+        reactor, "127.0.0.1:0", [] { return false; }, std::move(pages));
+    cr_assert(server != nullptr && !serve_status(reactor, "", [] { return true; }, {}));
+    cr_assert(!serve_status(reactor, server->address(), [] { return true; }, {}), "the address is taken");
+    std::thread thread([&] { reactor.run(); });
+    Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(server->address())};
+    http::Buffer buffer;
+    for (const std::string call :
+         {"GET /metrics?x=1", "GET /owners", "POST /owners", "GET /else", "GET /readiness"})
+        send_text(socket, call + " HTTP/1.1\r\n\r\n");
+    const Texts answers = receive_responses(socket, 5, buffer);
+    reactor.stop();
+    thread.join();
+    cr_assert(answers == (Texts{"up 1", "{}", "(405)", "(404)", "(503)"}));
+}
+
 Test(waker, runs_its_task_for_another_thread) {
     SystemClock clock;
     Timers timers;
