--- a/testbed/soak/soak.cpp
+++ b/testbed/soak/soak.cpp
@@ -156,7 +156,7 @@
     const std::vector<TenantResult> results = results_by_tenant(plan, statistics);
     const std::vector<TenantResult> starved = starved_tenants(results);
     const ClientStatistics::RouteCounters all = statistics.totals();
-    const Json metrics = sum_metrics(fixture.gateway_metrics());
+    const Json metrics = sum_metrics(fixture.status_pages("gateway", "/metrics"));
     std::string worst_tenant;
     const double excess = worst_quota_excess(plan, options, fixture.executions_by_tenant(), worst_tenant);
     const std::vector<std::string> ended = fixture.unexpectedly_ended();
--- a/testbed/system/fixture.cpp
+++ b/testbed/system/fixture.cpp
@@ -105,6 +105,10 @@
     });
 }
 
+std::string SystemFixture::server_id(std::size_t number) {
+    return run_on_reactor([&] { return servers_.at(number)->id(); });
+}
+
 bool SystemFixture::wait_servers_registered(double timeout_seconds) {
     for (double t = 0.0; t < timeout_seconds; t += kPollInterval) {
         if (run_on_reactor([this] {
--- a/testbed/system/fixture.h
+++ b/testbed/system/fixture.h
@@ -87,8 +87,9 @@
     // Nodes that ended by themselves since the start.
     std::vector<std::string> unexpectedly_ended();
     std::string log_text(const std::string& node) const;    // of all its processes so far
-    // The metrics of all gateways that answer in time, by node.
-    std::map<std::string, std::string> gateway_metrics(double timeout_seconds = 2.0);
+    // A status page, as "/metrics", of all nodes of a role that answer in time, by node.
+    std::map<std::string, std::string> status_pages(const std::string& role, const std::string& path,
+                                                    double timeout_seconds = 2.0);
     // Of all processes of a node so far; the memory is the largest peak.
     struct ResourceUsage {
         double cpu_seconds = 0.0, peak_mb = 0.0;
@@ -114,6 +115,7 @@
     void drain_server(std::size_t number);
     void set_server_frozen(std::size_t number, bool frozen);
     std::vector<std::size_t> live_servers_of(const std::string& service);    // those that have not ended
+    std::string server_id(std::size_t number);
     // False if not all live servers are registered in time.
     bool wait_servers_registered(double timeout_seconds);
 
--- a/testbed/system/fixture_constants.h
+++ b/testbed/system/fixture_constants.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/common/clock.h"
@@ -15,6 +16,8 @@
 constexpr int kFrontendPort = 8045, kReadinessPort = 8048, kControlPort = 8042, kFirstPort = 7100,
               kLastPort = 7115;
 constexpr int kServerPort = 8080;
+// Of status pages; a machine may have both programs at its address.
+inline int status_port_of(std::string_view role) { return role == "gateway" ? 8049 : 8050; }
 // Seconds between two looks at a condition, and until servers and operators learn of other machines.
 constexpr double kPollInterval = 0.05, kSeedUpdateDelay = 3.0;
 // Of one number's addresses: the fourth octet of an IPv4 address has no room for more.
--- a/testbed/system/fixture_processes.cpp
+++ b/testbed/system/fixture_processes.cpp
@@ -196,7 +196,8 @@
         program =
             std::filesystem::path(plan_.program_directory) / "system" / target_node.role / target_node.role;
     target_node.process = std::make_unique<Process>(
-        std::vector<std::string>{program.string(), "--log_level=" + plan_.log_level},
+        std::vector<std::string>{program.string(), "--log_level=" + plan_.log_level,
+                                 fmt::format("--metrics_port={}", status_port_of(target_node.role))},
         std::map<std::string, std::string>{{"SHALETRAY_BOOT", file.string()}}, target_node.log_path);
     ++target_node.start_count;
     target_node.should_run = true;
@@ -306,7 +307,9 @@
     return {std::istreambuf_iterator<char>(in), {}};
 }
 
-std::map<std::string, std::string> SystemFixture::gateway_metrics(double timeout_seconds) {
+std::map<std::string, std::string> SystemFixture::status_pages(const std::string& role,
+                                                               const std::string& path,
+                                                               double timeout_seconds) {
     struct Replies {
         std::map<std::string, std::string> text_by_node;
         std::size_t expected = 0, arrived = 0;
@@ -314,9 +317,9 @@
     const auto replies = std::make_shared<Replies>();
     run_task_on_reactor([&] {
         for (const auto& [name, of] : nodes_) {
-            if (of.role != "gateway" || !is_running(name)) continue;
+            if (of.role != role || !is_running(name)) continue;
             ++replies->expected;
-            calls_.send_request(fmt::format("{}:{}", of.ip, kReadinessPort), "GET", "/metrics", "",
+            calls_.send_request(fmt::format("{}:{}", of.ip, status_port_of(role)), "GET", path, "",
                                 from_secs(timeout_seconds), [replies, name = name](const HttpReply& reply) {
                                     ++replies->arrived;
                                     if (reply.status_code == 200) replies->text_by_node[name] = reply.body;
