--- a/testbed/experiments/key_moves.cpp
+++ b/testbed/experiments/key_moves.cpp
@@ -134,7 +134,7 @@
     }
     void freeze_controller() {
         const std::vector<std::string> nodes = fixture_.node_names("controller");
-        const std::string victim = nodes[random_() % nodes.size()];
+        const std::string& victim = nodes[random_() % nodes.size()];
         print_progress(fmt::format("{} stands still for {:.0f} s", victim, kShortFreeze));
         fixture_.freeze_node(victim);
         fixture_.run_for(kShortFreeze);
