Play more seeds of the model of key ownership, so that it finds renewals without a quorum

Cause: with callers that ask for busy keys the model's seeds are other histories; the mutation renew-keys-unconfirmed, found within 120 seeds before, first showed at seed 275.

--- a/tests/controller/ownership_model_test.cpp
+++ b/tests/controller/ownership_model_test.cpp
@@ -28,7 +28,8 @@
 
 Test(ownership_model, no_key_has_two_holders_and_all_are_owned_again) {
     OwnershipWorld::Counts sum;
-    const std::uint64_t seeds = seed_count(120);
+    // A grant without a confirmed table shows in one seed of some hundreds.
+    const std::uint64_t seeds = seed_count(400);
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         OwnershipWorld world(seed, seed % 3 == 0);
         world.run(40s, 75s);
