--- a/testbed/experiments/key_moves.cpp
+++ b/testbed/experiments/key_moves.cpp
@@ -189,8 +189,7 @@
         expectations_.expect(
             shards.double_owners == 0,
             fmt::format("{} requests began on a key that two servers held", shards.double_owners));
-        for (const auto& [rule, count] : report["rules"].items())
-            expectations_.expect(count == 0, fmt::format("{}: {}", rule, count.get<std::uint64_t>()));
+        expectations_.expect_rules_kept(report["rules"]);
         const double due = report["due"], served = report["served"];
         expectations_.expect(due > 0.0 && served >= kMinServedShare * due,
                              fmt::format("{} of {} requests were served", served, due));
--- a/testbed/experiments/machine_replacement.cpp
+++ b/testbed/experiments/machine_replacement.cpp
@@ -166,8 +166,7 @@
         const std::vector<Operation> history = fixture_.operation_history();
         const auto fault = history::find_violation(history);
         expectations_.expect(!fault, fmt::format("the operators' history: {}", fault.value_or("")));
-        for (const auto& [rule, count] : report_json["rules"].items())
-            expectations_.expect(count == 0, fmt::format("{}: {}", rule, count.get<std::uint64_t>()));
+        expectations_.expect_rules_kept(report_json["rules"]);
         const double due = report_json["due"], served = report_json["served"];
         expectations_.expect(due > 0.0 && served >= kMinServedFraction * due,
                              fmt::format("{:.1f}% was served", due > 0.0 ? served / due * 100.0 : 0.0));
--- a/testbed/gateway_fixture.cpp
+++ b/testbed/gateway_fixture.cpp
@@ -33,6 +33,11 @@
     }
 }
 
+void Expectations::expect_rules_kept(const nlohmann::json& broken_by_rule) {
+    for (const auto& [rule, count] : broken_by_rule.items())
+        expect(count == 0, fmt::format("{}: {}", rule, count.get<std::uint64_t>()));
+}
+
 int Expectations::print_report(Json& report_json) const {
     for (const std::string& what : violations_) fmt::print("BROKEN: {}\n", what);
     report_json["broken"] = violations_;
--- a/testbed/gateway_fixture.h
+++ b/testbed/gateway_fixture.h
@@ -29,6 +29,8 @@
     void expect(bool satisfied, const std::string& description) {
         if (!satisfied) violations_.push_back(description);
     }
+    // Each rule by its name, with how often it was broken.
+    void expect_rules_kept(const nlohmann::json& broken_by_rule);
     // Prints the violations, and `report_json` including them as the last line. Returns the exit status: 0,
     // or 1 if there is any.
     int print_report(nlohmann::json& report_json) const;
--- a/testbed/soak/soak.cpp
+++ b/testbed/soak/soak.cpp
@@ -184,9 +184,7 @@
         fmt::format("{} requests began on a key that two servers held", shards.double_owners));
     const std::string short_route = worst_route(plan, statistics, kMinRouteShare);
     expectations.expect(short_route.empty(), short_route);
-    const Json violations = to_json(fixture.violations());
-    for (const auto& [rule, count] : violations.items())
-        expectations.expect(count == 0, fmt::format("{}: {}", rule, count.get<std::uint64_t>()));
+    expectations.expect_rules_kept(to_json(fixture.violations()));
     Json report = {{"seed", options.seed},           {"due", all.due},
                    {"served", all.served},           {"rejected", all.rejected},
                    {"failed", all.failed},           {"share", share},
--- a/testbed/system/clients.cpp
+++ b/testbed/system/clients.cpp
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "simulator/measure.h"
-#include "system/shard_holds.h"
+#include "system/shard_key_load.h"
 
 namespace shaletray::testbed {
 namespace {
@@ -22,10 +22,6 @@
 constexpr Duration kLeast = 20ms;          // remaining time that a retry needs
 constexpr Duration kPause = 10ms;          // before a retry without a stated retry time
 constexpr int kMostTries = 4;
-// Of ten requests, how many ask for one of so many busy keys, which are others after so long.
-constexpr std::uint64_t kBusyKeyTenths = 6;
-constexpr std::size_t kBusyKeys = 300;
-constexpr Duration kBusyKeyTime = 12s;
 
 bool is_promise(int status) { return status == 429 || status == 503 || status == 408 || status == 421; }
 // Status codes that are never retried.
@@ -281,14 +277,6 @@
     write_request(request, *line);
 }
 
-// Most requests ask for keys that lie near one another; where, changes every few seconds.
-std::size_t Clients::draw_shard_key() {
-    if (random_() % 10 >= kBusyKeyTenths) return random_() % kShardKeyCount;
-    const auto period = static_cast<std::uint64_t>(reactor_.clock().now().time_since_epoch() / kBusyKeyTime);
-    const std::size_t busy_place = std::mt19937_64(period)() % kShardKeyCount;
-    return (busy_place + random_() % kBusyKeys) % kShardKeyCount;
-}
-
 void Clients::write_request(PendingRequest& request, Connection& connection) {
     const RoutePlan& route = settings_.routes[request.route];
     const TenantPlan* tenant =
@@ -303,7 +291,7 @@
         fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nX-Attempt-Id: {}\r\nX-Deadline-Remaining: {}\r\n", method,
                     request.target, route.host, request.id, left.count());
     if (tenant) out += fmt::format("Authorization: Bearer {}\r\n", tenant->key);
-    out += fmt::format("X-Shard-Key: {}\r\n", draw_shard_key());
+    out += fmt::format("X-Shard-Key: {}\r\n", draw_shard_key(random_, reactor_.clock().now()));
     if (request.body.empty()) {
         out += "\r\n";
     } else if (random_() % 4 != 0) {
--- a/testbed/system/clients.h
+++ b/testbed/system/clients.h
@@ -142,7 +142,6 @@
     void draw_sender(PendingRequest& request);
     Connection* find_idle_connection(const PendingRequest& request);
     Connection* open_connection(PendingRequest& request);
-    std::size_t draw_shard_key();
     void write_request(PendingRequest& request, Connection& connection);
     void on_answer(Connection& connection);
     void on_disconnected(Connection& connection);
--- a/testbed/system/demo.cpp
+++ b/testbed/system/demo.cpp
@@ -88,8 +88,7 @@
     const double due = figures["due"], served = figures["served"];
     bounds.expect(due > 0.0 && served >= kMinServedFraction * due,
                   fmt::format("{:.2f}% was served", due > 0.0 ? served / due * 100.0 : 0.0));
-    for (const auto& [rule, count] : figures["rules"].items())
-        bounds.expect(count == 0, fmt::format("{}: {}", rule, count.get<std::uint64_t>()));
+    bounds.expect_rules_kept(figures["rules"]);
     bounds.expect(read.status_code == 200 && Json::parse(read.body, nullptr, false) == first_configuration,
                   fmt::format("what was read back (status {}) is not what was sent", read.status_code));
     for (const std::string& name : ended) {
--- a/tests/controller/ownership_world.h
+++ b/tests/controller/ownership_world.h
@@ -29,8 +29,7 @@
 class OwnershipWorld {
 public:
     struct Counts {
-        std::uint64_t takes = 0, refused_rows = 0, releases_proven = 0, settled_after_wait = 0,
-                      unconfirmed_answers = 0, faults = 0, balanced = 0;
+        std::uint64_t takes = 0, refused_rows = 0, releases_proven = 0, unconfirmed_answers = 0, faults = 0;
     };
     // `lenient_servers`: they also take answers that come later than a second.
     OwnershipWorld(std::uint64_t seed, bool lenient_servers);
