Log what each configuration waits for, and what a controller cannot send

Change: a proposal's trace (which voter promised and stored it when, what it waits for last) in the outcome's line; configuration_received with the time that its bytes took to arrive, to be run and to be checked; configuration_abandoned where its caller had left; what sessions hold unsent, in bytes and age, there, in quorum_lost and in the metrics; callers that left before their call was whole; the longest delay of the loop. No decision depends on any of it.

--- a/src/base/net/api_server.cpp
+++ b/src/base/net/api_server.cpp
@@ -195,9 +195,10 @@
     connection.caller->connection_ = &connection;
     connection.caller->server_ = this;
     const std::shared_ptr<ApiCaller> caller = connection.caller;
-    handle_call_(
-        {connection.parser.method(input), connection.parser.target(input), connection.parser.body(input)},
-        caller);
+    const Duration receive_time = reactor_.clock().now() - connection.state_since;
+    handle_call_({connection.parser.method(input), connection.parser.target(input),
+                  connection.parser.body(input), receive_time},
+                 caller);
     if (connection.is_closed) return false;
     input.consume(connection.parser.message_size());
     connection.parser.reset();
@@ -264,6 +265,7 @@
 
 void ApiServer::close_connection(Connection& connection) {
     if (std::exchange(connection.is_closed, true)) return;
+    if (connection.state == Connection::State::Reading) ++counters_.incomplete;
     if (connection.caller != nullptr) {
         connection.caller->connection_ = nullptr;
         ++counters_.abandoned;
--- a/src/base/net/api_server.h
+++ b/src/base/net/api_server.h
@@ -22,6 +22,7 @@
 // One complete request. The views are valid only during the call to the handler.
 struct ApiCall {
     std::string_view method, target, body;
+    Duration receive_time{};    // from its first bytes to its last
 };
 // The response to an ApiCall.
 struct ApiReply {
@@ -86,7 +87,9 @@
     std::size_t active_calls() const { return busy_connections_.size(); }
     // Totals since the start.
     struct Counters {
-        std::uint64_t accepted = 0, calls = 0, rejected = 0, abandoned = 0;
+        std::uint64_t accepted = 0, calls = 0, rejected = 0;
+        std::uint64_t abandoned = 0;     // the caller left before the reply
+        std::uint64_t incomplete = 0;    // the caller left before its last byte had arrived
     };
     const Counters& counters() const { return counters_; }
 
--- a/src/cluster/consensus/actions.h
+++ b/src/cluster/consensus/actions.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "cluster/consensus/persistent_state.h"
+#include "cluster/consensus/proposal_trace.h"
 
 namespace shaletray::consensus {
 
@@ -35,6 +36,7 @@
     struct Completion {
         RequestId request_id = 0;
         Outcome outcome = Outcome::Indeterminate;
+        ProposalTrace trace{};    // of a proposal
     };
     std::vector<OutgoingMessage> messages;
     std::vector<StateWrite> writes;
--- a/src/cluster/consensus/pending_work.h
+++ b/src/cluster/consensus/pending_work.h
@@ -36,6 +36,7 @@
     std::uint64_t version = 0;
     std::string text;
     std::uint64_t call_number = 0;    // of the request
+    TimePoint proposed_at;
     TimePoint deadline;
 };
 
--- a/src/cluster/consensus/register_impl.h
+++ b/src/cluster/consensus/register_impl.h
@@ -72,6 +72,8 @@
     // --- register_requests.cpp: requests of clients
 
     void complete_request(RequestId request_id, Outcome outcome);
+    void complete_proposal(const Proposal& proposal, Outcome outcome);
+    ProposalWait current_wait(const Proposal& proposal) const;
     void complete_proposals();
     void complete_reads();
     void expire_requests();
@@ -167,6 +169,7 @@
     // A majority of the new voters is not yet known to have stored the entry.
     bool must_confirm_ = false;
     std::optional<BallotRound> round_;
+    RoundTrace latest_round_;                 // for the log
     std::uint64_t highest_round_seen_ = 0;    // of any ballot for the next entry
     int failed_rounds_ = 0;                   // consecutive
     TimePoint next_round_at_{}, next_probe_at_{};
--- a/src/cluster/consensus/register_proposer.cpp
+++ b/src/cluster/consensus/register_proposer.cpp
@@ -30,6 +30,8 @@
         round.own_entry = state_.accepted_entry;
     }
     round_ = std::move(round);
+    latest_round_ = {};
+    latest_round_.prepare_started_at = now_;
     send_round_messages(voter_addresses());
 }
 
@@ -51,7 +53,7 @@
 void ReplicatedRegister::Impl::handle_promise(const std::string& from, const Message& message) {
     if (!matches_round(from, message) || round_->phase != BallotRound::Phase::Prepare) return;
     if (!adopt_accepted_entry(message)) return;
-    round_->approvals.insert(from);
+    if (round_->approvals.insert(from).second) latest_round_.promises.push_back({from, now_});
     if (round_->approvals.size() < majority_size(state_.committed.voters)) return;
     if (round_->highest_ballot.round == 0) {    // no next entry had been chosen when this round began
         record_confirmation(round_->started_at, round_->call_number);
@@ -76,6 +78,7 @@
 
 void ReplicatedRegister::Impl::start_accept_phase() {
     round_->phase = BallotRound::Phase::Accept;
+    latest_round_.accept_started_at = now_;
     round_->started_at = now_;
     round_->call_number = call_number_;
     round_->retry.start(now_, settings_.round_timeout);
@@ -110,7 +113,7 @@
 
 void ReplicatedRegister::Impl::handle_accepted(const std::string& from, const Message& message) {
     if (!matches_round(from, message) || round_->phase != BallotRound::Phase::Accept) return;
-    round_->approvals.insert(from);
+    if (round_->approvals.insert(from).second) latest_round_.acceptances.push_back({from, now_});
     if (round_->approvals.size() >= majority_size(state_.committed.voters)) commit_round();
 }
 
--- a/src/cluster/consensus/register_requests.cpp
+++ b/src/cluster/consensus/register_requests.cpp
@@ -18,7 +18,7 @@
 void ReplicatedRegister::Impl::propose(RequestId request_id, std::uint64_t version, std::string text,
                                        TimePoint deadline) {
     if (proposals_.size() >= kMaxProposals) return complete_request(request_id, Outcome::Indeterminate);
-    proposals_.push_back({request_id, version, std::move(text), call_number_, deadline});
+    proposals_.push_back({request_id, version, std::move(text), call_number_, now_, deadline});
 }
 
 void ReplicatedRegister::Impl::quorum_read(RequestId request_id, TimePoint deadline) {
@@ -41,13 +41,25 @@
 }
 
 void ReplicatedRegister::Impl::complete_request(RequestId request_id, Outcome outcome) {
-    actions_->completions.push_back({request_id, outcome});
+    actions_->completions.push_back({request_id, outcome, {}});
+}
+
+void ReplicatedRegister::Impl::complete_proposal(const Proposal& proposal, Outcome outcome) {
+    const ProposalTrace trace{proposal.proposed_at, current_wait(proposal), latest_round_};
+    actions_->completions.push_back({proposal.request_id, outcome, trace});
+}
+
+ProposalWait ReplicatedRegister::Impl::current_wait(const Proposal& proposal) const {
+    if (next_instance() == 0 || catch_up_) return ProposalWait::Entry;
+    if (!is_newer(proposal)) return ProposalWait::Confirmation;
+    if (!round_) return ProposalWait::Round;
+    return round_->phase == BallotRound::Phase::Prepare ? ProposalWait::Promises : ProposalWait::Acceptances;
 }
 
 void ReplicatedRegister::Impl::complete_proposals() {
     std::erase_if(proposals_, [this](const Proposal& proposal) {
         if (is_newer(proposal) || !is_confirmed_since(proposal.call_number)) return false;
-        complete_request(proposal.request_id, proposal_outcome(proposal));
+        complete_proposal(proposal, proposal_outcome(proposal));
         return true;
     });
 }
@@ -63,13 +75,16 @@
 }
 
 void ReplicatedRegister::Impl::expire_requests() {
-    const auto expire_if_late = [this](const auto& request) {
-        if (now_ < request.deadline) return false;
-        complete_request(request.request_id, Outcome::Indeterminate);
+    std::erase_if(proposals_, [this](const Proposal& proposal) {
+        if (now_ < proposal.deadline) return false;
+        complete_proposal(proposal, Outcome::Indeterminate);
         return true;
-    };
-    std::erase_if(proposals_, expire_if_late);
-    std::erase_if(pending_reads_, expire_if_late);
+    });
+    std::erase_if(pending_reads_, [this](const PendingRead& read) {
+        if (now_ < read.deadline) return false;
+        complete_request(read.request_id, Outcome::Indeterminate);
+        return true;
+    });
     if (voter_change_ && now_ >= voter_change_->deadline) voter_change_.reset();
     if (table_change_ && now_ >= table_change_->deadline) table_change_.reset();
 }
--- a/src/cluster/transport/connection_manager.cpp
+++ b/src/cluster/transport/connection_manager.cpp
@@ -39,6 +39,7 @@
     void set_incarnation(std::uint64_t incarnation) { incarnation_ = incarnation; }
     const std::string& address() const { return address_; }
     const Counters& counters() const { return counters_; }
+    SendBacklog backlog() const;
 
 private:
     void send_to_self(Kind kind, std::string_view payload);
@@ -109,6 +110,12 @@
     loopback_.send({kind, address_, incarnation_, std::string(payload)});
 }
 
+SendBacklog ConnectionManager::Impl::backlog() const {
+    SendBacklog backlog;
+    for (const auto& [destination, session] : sessions_) session->add_backlog(backlog);
+    return backlog;
+}
+
 void ConnectionManager::Impl::count_sent(Kind kind, std::string_view payload) {
     KindTraffic& traffic = counters_.of(kind);
     ++traffic.sent;
@@ -160,5 +167,6 @@
 void ConnectionManager::set_incarnation(std::uint64_t incarnation) { impl_->set_incarnation(incarnation); }
 const std::string& ConnectionManager::address() const { return impl_->address(); }
 const ConnectionManager::Counters& ConnectionManager::counters() const { return impl_->counters(); }
+SendBacklog ConnectionManager::backlog() const { return impl_->backlog(); }
 
 }    // namespace shaletray::transport
--- a/src/cluster/transport/connection_manager.h
+++ b/src/cluster/transport/connection_manager.h
@@ -39,6 +39,8 @@
     // The own address, with the actual port.
     const std::string& address() const;
     const Counters& counters() const;
+    // Of all sessions now.
+    SendBacklog backlog() const;
 
 private:
     class Impl;
--- a/src/cluster/transport/limits.h
+++ b/src/cluster/transport/limits.h
@@ -39,6 +39,13 @@
     const KindTraffic& of(Kind kind) const { return by_kind.at(index_of(kind)); }
 };
 
+// Frames that sessions hold since their peers do not take them yet.
+struct SendBacklog {
+    std::size_t bytes = 0;
+    std::size_t sessions = 0;    // with such frames
+    Duration oldest_age{};       // of the frame that waits for longest
+};
+
 // Returns "sent_KIND=messages/bytes received_KIND=messages/bytes" for each kind of message with traffic, for
 // the log.
 std::string describe_traffic(const ConnectionCounters& counters);
--- a/src/cluster/transport/outbound_session.cpp
+++ b/src/cluster/transport/outbound_session.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -132,6 +133,15 @@
     if (!send_queue_.empty()) retry_timer_ = reactor_.schedule_at(next_dial_at_, [this] { dial(); });
 }
 
+void OutboundSession::add_backlog(SendBacklog& backlog) const {
+    const bool batch_is_written = stream_ && stream_->all_sent();
+    const std::size_t bytes = send_queue_.total_bytes();
+    if (bytes == 0 || (batch_is_written && send_queue_.empty())) return;
+    backlog.bytes += bytes;
+    ++backlog.sessions;
+    backlog.oldest_age = std::max(backlog.oldest_age, reactor_.clock().now() - send_queue_.oldest_push());
+}
+
 bool OutboundSession::close_if_idle(TimePoint cutoff) {
     const bool is_dialling = stream_ && !connected_;
     if (last_used_ >= cutoff || !send_queue_.empty() || is_dialling) return false;
--- a/src/cluster/transport/outbound_session.h
+++ b/src/cluster/transport/outbound_session.h
@@ -31,6 +31,8 @@
     // Closes the connection where it was not used since `cutoff`. Returns true where the session was idle,
     // and may be destroyed.
     bool close_if_idle(TimePoint cutoff);
+    // Adds the frames that are not written yet.
+    void add_backlog(SendBacklog& backlog) const;
 
 private:
     void on_connected() override;
--- a/src/cluster/transport/send_queue.cpp
+++ b/src/cluster/transport/send_queue.cpp
@@ -25,6 +25,7 @@
 
 std::string SendQueue::take_batch(std::size_t max_bytes) {
     std::string batch = std::move(pending_.front().bytes);
+    batch_pushed_at_ = pending_.front().queued_at;
     pending_bytes_ -= batch.size();
     pending_.pop_front();
     batch_frames_ = 1;
--- a/src/cluster/transport/send_queue.h
+++ b/src/cluster/transport/send_queue.h
@@ -24,6 +24,10 @@
     // must not be empty.
     std::string take_batch(std::size_t max_bytes);
     void mark_written() { batch_bytes_ = batch_frames_ = 0; }
+    // When the oldest frame that is not written yet was pushed. There must be one.
+    TimePoint oldest_push() const {
+        return batch_frames_ > 0 ? batch_pushed_at_ : pending_.front().queued_at;
+    }
     // Discards a batch that was not written completely and returns the number of its frames.
     std::size_t discard_batch();
 
@@ -41,6 +45,7 @@
     std::size_t max_bytes_;
     std::deque<Frame> pending_;
     std::size_t pending_bytes_ = 0, batch_bytes_ = 0, batch_frames_ = 0;
+    TimePoint batch_pushed_at_{};    // of its first frame
 };
 
 }    // namespace shaletray::transport
--- a/src/controller/api/control_command.h
+++ b/src/controller/api/control_command.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <variant>
 
+#include "base/common/clock.h"
 #include "cluster/registry/service_registry.h"
 #include "controller/api/response.h"
 
@@ -23,6 +24,7 @@
 // POST /configuration/replace; the text is not parsed yet.
 struct ReplaceConfiguration {
     std::string text;
+    Duration receive_time{};    // of the call, from its first bytes to its last
 };
 // GET /configuration/read
 struct ReadConfiguration {};
--- a/src/controller/command_executor.cpp
+++ b/src/controller/command_executor.cpp
@@ -1,5 +1,7 @@
 #include "controller/command_executor.h"
 
+#include <fmt/format.h>
+
 #include <boost/leaf/handle_errors.hpp>
 #include <utility>
 #include <variant>
@@ -53,6 +55,26 @@
     return "configuration_committed";
 }
 
+std::string_view name_of(consensus::ProposalWait wait) {
+    switch (wait) {
+        case consensus::ProposalWait::Entry: return "entry";
+        case consensus::ProposalWait::Round: return "round";
+        case consensus::ProposalWait::Promises: return "promises";
+        case consensus::ProposalWait::Acceptances: return "acceptances";
+        case consensus::ProposalWait::Confirmation: break;
+    }
+    return "confirmation";
+}
+
+// Voters and milliseconds since the proposal: "10.1.0.24:7100=12,10.2.0.9:7100=15".
+std::string format_replies(const std::vector<consensus::VoterReply>& replies, TimePoint proposed_at) {
+    std::string text;
+    for (const consensus::VoterReply& reply : replies)
+        text += fmt::format("{}{}={}", text.empty() ? "" : ",", reply.voter,
+                            (reply.received_at - proposed_at) / 1ms);
+    return text;
+}
+
 Response response_to_proposal(consensus::Outcome outcome) {
     switch (outcome) {
         case consensus::Outcome::Indeterminate: return control_api::retry_later();
@@ -92,6 +114,8 @@
     PendingCommand pending;
     pending.command = std::move(std::get<control_api::Command>(decoded));
     pending.queued_at = reactor_.clock().now();
+    if (auto* replacement = std::get_if<control_api::ReplaceConfiguration>(&pending.command))
+        replacement->receive_time = call.receive_time;
     pending.respond = [caller](Response response) { send_response(*caller, std::move(response)); };
     pending.cancelled = [caller] { return caller->is_abandoned(); };
     if (!commands_.push(std::move(pending))) {
@@ -214,46 +238,66 @@
 
 void CommandExecutor::execute(control_api::ReplaceConfiguration& command, PendingCommand& pending) {
     ++statistics_.replacements;
-    if (pending.cancelled()) return;
-    const auto on_checked = [this, respond = pending.respond](ConfigurationLoader::CheckResult result) {
-        on_text_checked(std::move(result), respond);
+    const TimePoint now = reactor_.clock().now();
+    if (pending.cancelled())
+        return log_event(
+            LogLevel::Info, "configuration_abandoned",
+            {log_field("bytes", command.text.size()), log_field("receive_ms", command.receive_time / 1ms),
+             log_field("queue_ms", (now - pending.queued_at) / 1ms)});
+    const Replacement replacement{pending.respond, command.receive_time, pending.queued_at, now};
+    const auto on_checked = [this, replacement](ConfigurationLoader::CheckResult result) {
+        on_text_checked(std::move(result), replacement);
     };
     if (!loader_.check(std::move(command.text), on_checked)) pending.respond(control_api::retry_later());
 }
 
-void CommandExecutor::on_text_checked(ConfigurationLoader::CheckResult result, const Respond& respond) {
+void CommandExecutor::on_text_checked(ConfigurationLoader::CheckResult result, Replacement replacement) {
     if (const auto* error = std::get_if<configuration::ConfigurationError>(&result)) {
         log_event(LogLevel::Info, "configuration_rejected",
                   {log_field("field", error->field), log_field("reason", error->reason)});
-        return respond(control_api::error(HttpStatus::BadRequest, error->field + ": " + error->reason));
+        return replacement.respond(
+            control_api::error(HttpStatus::BadRequest, error->field + ": " + error->reason));
     }
-    propose(std::move(std::get<ConfigurationLoader::ValidText>(result)), respond);
+    propose(std::move(std::get<ConfigurationLoader::ValidText>(result)), std::move(replacement));
 }
 
-void CommandExecutor::propose(ConfigurationLoader::ValidText configuration, const Respond& respond) {
-    const auto on_outcome = [this, version = configuration.version, started_at = reactor_.clock().now(),
-                             respond](consensus::Outcome outcome) {
-        on_proposal_done(version, started_at, outcome, respond);
+void CommandExecutor::propose(ConfigurationLoader::ValidText configuration, Replacement replacement) {
+    replacement.version = configuration.version;
+    log_event(LogLevel::Info, "configuration_received",
+              {log_field("version", configuration.version), log_field("bytes", configuration.text.size()),
+               log_field("receive_ms", replacement.receive_time / 1ms),
+               log_field("queue_ms", (replacement.executed_at - replacement.received_at) / 1ms),
+               log_field("check_ms", (reactor_.clock().now() - replacement.executed_at) / 1ms)});
+    const auto on_outcome = [this, replacement](consensus::Outcome outcome,
+                                                const consensus::ProposalTrace& trace) {
+        on_proposal_done(replacement, outcome, trace);
     };
     consensus_.propose(configuration.version, std::move(configuration.text), on_outcome);
 }
 
-void CommandExecutor::on_proposal_done(std::uint64_t version, TimePoint started_at,
-                                       consensus::Outcome outcome, const Respond& respond) {
+void CommandExecutor::on_proposal_done(const Replacement& replacement, consensus::Outcome outcome,
+                                       const consensus::ProposalTrace& trace) {
     if (outcome == consensus::Outcome::Conflict) ++statistics_.conflicts;
     if (outcome == consensus::Outcome::Indeterminate) ++statistics_.indeterminate;
-    log_event(
-        LogLevel::Info, event_name_of(outcome),
-        {log_field("version", version), log_field("current_version", consensus_.committed_entry().version),
-         log_field("took_ms", (reactor_.clock().now() - started_at) / 1ms)});
-    respond(response_to_proposal(outcome));
+    const transport::SendBacklog backlog = consensus_.send_backlog();
+    log_event(LogLevel::Info, event_name_of(outcome),
+              {log_field("version", replacement.version),
+               log_field("current_version", consensus_.committed_entry().version),
+               log_field("took_ms", (reactor_.clock().now() - trace.proposed_at) / 1ms),
+               log_field("last_wait", name_of(trace.last_wait)),
+               log_field("promised", format_replies(trace.latest_round.promises, trace.proposed_at)),
+               log_field("stored", format_replies(trace.latest_round.acceptances, trace.proposed_at)),
+               log_field("unsent_bytes", backlog.bytes), log_field("unsent_ms", backlog.oldest_age / 1ms)});
+    replacement.respond(response_to_proposal(outcome));
 }
 
 void CommandExecutor::execute(const control_api::ReadConfiguration&, PendingCommand& pending) {
     ++statistics_.reads;
     if (pending.cancelled()) return;
     consensus_.quorum_read(
-        [this, respond = pending.respond](consensus::Outcome outcome) { on_read_done(outcome, respond); });
+        [this, respond = pending.respond](consensus::Outcome outcome, const consensus::ProposalTrace&) {
+            on_read_done(outcome, respond);
+        });
 }
 
 void CommandExecutor::on_read_done(consensus::Outcome outcome, const Respond& respond) {
--- a/src/controller/command_executor.h
+++ b/src/controller/command_executor.h
@@ -71,10 +71,17 @@
     void execute(const control_api::Deregister& command, control_api::PendingCommand& pending);
     void execute(control_api::ReplaceConfiguration& command, control_api::PendingCommand& pending);
     void execute(const control_api::ReadConfiguration& command, control_api::PendingCommand& pending);
-    void on_text_checked(ConfigurationLoader::CheckResult result, const Respond& respond);
-    void propose(ConfigurationLoader::ValidText configuration, const Respond& respond);
-    void on_proposal_done(std::uint64_t version, TimePoint started_at, consensus::Outcome outcome,
-                          const Respond& respond);
+    // A call to replace the configuration, on its way to its response.
+    struct Replacement {
+        Respond respond;
+        Duration receive_time{};    // of the call, from its first bytes to its last
+        TimePoint received_at{}, executed_at{};
+        std::uint64_t version = 0;    // once the text is checked
+    };
+    void on_text_checked(ConfigurationLoader::CheckResult result, Replacement replacement);
+    void propose(ConfigurationLoader::ValidText configuration, Replacement replacement);
+    void on_proposal_done(const Replacement& replacement, consensus::Outcome outcome,
+                          const consensus::ProposalTrace& trace);
     void on_read_done(consensus::Outcome outcome, const Respond& respond);
 
     Reactor& reactor_;
--- a/src/controller/consensus_driver.cpp
+++ b/src/controller/consensus_driver.cpp
@@ -115,18 +115,20 @@
     if (entry == pending_requests_.end()) return;    // a periodic read that only confirms the quorum
     const OutcomeCallback on_outcome = std::move(entry->second);
     pending_requests_.erase(entry);
-    on_outcome(completion.outcome);
+    on_outcome(completion.outcome, completion.trace);
 }
 
 void ConsensusDriver::check_quorum() {
     const auto change = quorum_.update(register_.quorum_confirmed_at(), clock_.now());
     if (!change) return;
     const consensus::LogEntry& entry = register_.committed_entry();
+    const transport::SendBacklog backlog = connections_.backlog();
     runtime::log_event(change->held ? LogLevel::Info : LogLevel::Warning,
                        change->held ? "quorum_regained" : "quorum_lost",
                        {log_field(change->held ? "without_ms" : "held_ms", change->previous_duration / 1ms),
                         log_field("version", entry.version), log_field("voters", entry.voters.size()),
-                        log_field("voter", register_.is_voter())});
+                        log_field("voter", register_.is_voter()), log_field("unsent_bytes", backlog.bytes),
+                        log_field("unsent_ms", backlog.oldest_age / 1ms)});
 }
 
 }    // namespace shaletray::controller
--- a/src/controller/consensus_driver.h
+++ b/src/controller/consensus_driver.h
@@ -23,7 +23,8 @@
 // is destroyed are dropped without a callback.
 class ConsensusDriver final : public OwnershipRegister {
 public:
-    using OutcomeCallback = std::function<void(consensus::Outcome)>;
+    // The trace is that of a proposal.
+    using OutcomeCallback = std::function<void(consensus::Outcome, const consensus::ProposalTrace&)>;
     struct Callbacks {
         // The newest committed entry has changed. Runs before the callbacks of the requests that the entry
         // completes, so that gateways are notified before a caller learns that the change is in force.
@@ -56,6 +57,8 @@
     const consensus::ReplicatedRegister& replicated_register() const { return register_; }
     const consensus::LogEntry& committed_entry() const override { return register_.committed_entry(); }
     const consensus::StateStore& store() const { return *store_; }
+    // What the sessions to other processes, of all kinds of messages, hold back now.
+    transport::SendBacklog send_backlog() const { return connections_.backlog(); }
 
 private:
     void on_stored();
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -203,6 +203,7 @@
 
 void Controller::tick() {
     const TimePoint now = clock_.now();
+    longest_tick_delay_ = std::max(longest_tick_delay_, now - next_tick_at_);
     next_tick_at_ = TimePoint::max();
     if (membership_.next_deadline() <= now) tick_membership(now);
     consensus_.tick(now);
@@ -267,18 +268,22 @@
 std::string Controller::counters_text() const {
     const CommandExecutor::Statistics& command_statistics = commands_.statistics();
     const transport::ConnectionManager::Counters& message_counters = connections_.counters();
+    const transport::SendBacklog backlog = connections_.backlog();
+    const ApiServer::Counters& calls = control_server_->counters();
     return fmt::format(
         "heartbeats={} deregistrations={} replacements={} reads={} rejected={} conflicts={} "
         "indeterminate={} departures_unconfirmed={} quorum={} quorum_losses={} gateways={} servers={} "
-        "failed_writes={} "
+        "failed_writes={} calls={} calls_incomplete={} calls_abandoned={} unsent_bytes={} unsent_ms={} "
+        "longest_tick_delay_ms={} "
         "messages_sent={} message_bytes={} messages_dropped={} messages_malformed={} {}",
         command_statistics.heartbeats, command_statistics.deregistrations, command_statistics.replacements,
         command_statistics.reads, command_statistics.rejected, command_statistics.conflicts,
         command_statistics.indeterminate, command_statistics.departures_unconfirmed,
         consensus_.is_quorum_held() ? 1 : 0, consensus_.quorum_loss_count(), distributor_.gateway_count(),
-        distributor_.server_count(), consensus_.store().failed_writes(), message_counters.sent,
-        message_counters.sent_bytes, message_counters.dropped, message_counters.malformed,
-        transport::describe_traffic(message_counters));
+        distributor_.server_count(), consensus_.store().failed_writes(), calls.calls, calls.incomplete,
+        calls.abandoned, backlog.bytes, backlog.oldest_age / 1ms, longest_tick_delay_ / 1ms,
+        message_counters.sent, message_counters.sent_bytes, message_counters.dropped,
+        message_counters.malformed, transport::describe_traffic(message_counters));
 }
 
 std::string Controller::metrics_text() const {
@@ -311,6 +316,15 @@
         text += fmt::format("controller_ownership_busiest_server_load{{service=\"{}\"}} {:.3f}\n",
                             escape_label(service), load);
     append_value("failed_writes_total", consensus_.store().failed_writes());
+    append_value("indeterminate_total", command_statistics.indeterminate);
+    const ApiServer::Counters& calls = control_server_->counters();
+    append_value("calls_total", calls.calls);
+    append_value("calls_incomplete_total", calls.incomplete);
+    append_value("calls_abandoned_total", calls.abandoned);
+    const transport::SendBacklog backlog = connections_.backlog();
+    append_value("unsent_bytes", backlog.bytes);
+    append_value("unsent_milliseconds", static_cast<std::uint64_t>(backlog.oldest_age / 1ms));
+    append_value("longest_tick_delay_milliseconds", static_cast<std::uint64_t>(longest_tick_delay_ / 1ms));
     return text;
 }
 
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -78,6 +78,7 @@
     std::unique_ptr<ApiServer> control_server_, readiness_server_, metrics_server_;
     Timers::Id tick_timer_ = 0;
     TimePoint next_tick_at_ = TimePoint::max();    // when tick_timer_ fires
+    Duration longest_tick_delay_{};                // by which a tick came late, since the start
     TimePoint next_voter_check_{};
     TimePoint stopping_since_{};    // zero: not stopping
 };
--- a/tests/cluster/consensus/register_cluster.h
+++ b/tests/cluster/consensus/register_cluster.h
@@ -126,7 +126,8 @@
     std::map<RequestId, PendingRequest> requests;
     // Receives the committed entry of the node that completed the request.
     std::function<void(RequestId, Outcome, const LogEntry&)> on_completion;
-    std::map<Replica, std::uint64_t> stored_numbers;    // number of the newest entry on each disk
+    std::function<void(const ProposalTrace&)> on_trace;    // receives those of completed proposals
+    std::map<Replica, std::uint64_t> stored_numbers;       // number of the newest entry on each disk
     CommittedEntries committed;
     double loss_rate = 0.0, duplicate_rate = 0.0;
     Duration link_delay = 1ms, sync_delay = 2ms, max_retry_interval = 2s;
@@ -233,6 +234,7 @@
         const PendingRequest& request = requests.at(completion.request_id);
         const LogEntry& current = node.replica->committed_entry();
         if (on_completion) on_completion(completion.request_id, completion.outcome, current);
+        if (on_trace && request.proposal) on_trace(completion.trace);
         if (completion.outcome == Outcome::Indeterminate) {
             ++indeterminate_count;
             return;
--- a/tests/cluster/transport/send_queue_test.cpp
+++ b/tests/cluster/transport/send_queue_test.cpp
@@ -24,3 +24,14 @@
     cr_assert(queue.discard_batch() == 2 && queue.total_bytes() == 200);
     cr_assert(queue.take_batch(60).size() == 200);
 }
+
+Test(send_queue, tells_when_the_oldest_frame_was_pushed) {
+    SendQueue queue(1000);
+    queue.push(std::string(30, 'a'), TimePoint(1s));
+    queue.push(std::string(30, 'b'), TimePoint(2s));
+    cr_assert(queue.oldest_push() == TimePoint(1s));
+    queue.take_batch(30);    // the batch counts until it is written
+    cr_assert(queue.oldest_push() == TimePoint(1s));
+    queue.mark_written();
+    cr_assert(queue.oldest_push() == TimePoint(2s));
+}
