--- a/tests/controller/registry_forwarder_test.cpp
+++ b/tests/controller/registry_forwarder_test.cpp
@@ -51,6 +51,7 @@
         for (auto& [address, controller] : controllers)
             for (const auto& send : std::exchange(controller->messages, {})) {
                 ++message_count;
+                ++messages_from[address];
                 bytes += send.bytes.size();
                 if (std::uniform_real_distribution<>(0, 1)(random) < loss_rate) continue;
                 controllers.at(send.to)->forwarder.on_message(address, controller->incarnation, send.bytes,
@@ -83,6 +84,7 @@
     Duration now = 0s;
     std::mt19937_64 random{1};
     std::size_t message_count = 0, bytes = 0;
+    std::map<std::string, std::size_t> messages_from;    // by sender
 };
 
 }    // namespace
@@ -133,6 +135,24 @@
     cr_assert(cluster.all_agree() && cluster.message_count <= 8);
 }
 
+// Guards against controllers whose links fill with messages that tell nothing while servers register
+// elsewhere.
+Test(registry_forwarder, controller_without_servers_sends_only_its_periodic_messages) {
+    constexpr std::size_t kControllers = 18, kSeconds = 3;
+    TestCluster cluster;
+    for (std::size_t i = 4; i <= kControllers; ++i)
+        cluster.start_node("10.0.0." + std::to_string(i) + ":7100", 1);
+    for (int i = 0; i < 300; ++i) {    // ten servers in each of 30 steps of 100 ms
+        cluster.send_heartbeat("10.0.0.1:7100", std::to_string(8000 + i), 1);
+        if (i % 10 == 9) cluster.step(0.0);
+    }
+    cr_assert(cluster.all_agree());
+    const std::size_t owner_messages = cluster.messages_from.at("10.0.0.1:7100");
+    cr_assert(owner_messages > 20 * (kControllers - 1), "%zu: it sends each change", owner_messages);
+    cr_assert(cluster.messages_from.at("10.0.0.18:7100") <= (kSeconds + 1) * (kControllers - 1),
+              "%zu messages in %zu s", cluster.messages_from.at("10.0.0.18:7100"), kSeconds);
+}
+
 Test(registry_forwarder, keeps_servers_whose_owner_got_a_higher_incarnation) {
     TestCluster cluster;
     cluster.start_node("10.0.0.1:7100",
