Send other controllers only the changes that a controller has to announce

Cause: a controller sent each of the others a message after every change of its registry, also after those that it had just heard from them, with nothing in it: for n controllers, each change cost n squared messages.

Why it works: the registry tells the number of its latest change that others have to hear from it, and a round is due for that alone, or for an acknowledgement that was asked for. What others announce reaches everybody from its owner; the periodic messages are as before.

--- a/src/cluster/registry/endpoint_view.cpp
+++ b/src/cluster/registry/endpoint_view.cpp
@@ -164,6 +164,7 @@
     return impl_->encode_changes(since, own_only, now);
 }
 std::uint64_t EndpointView::sequence() const { return impl_->sequence(); }
+std::uint64_t EndpointView::own_sequence() const { return impl_->own_sequence(); }
 std::uint64_t EndpointView::known_sequence(const std::string& owner_address,
                                            std::uint64_t incarnation) const {
     return impl_->known_sequence(owner_address, incarnation);
--- a/src/cluster/registry/endpoint_view.h
+++ b/src/cluster/registry/endpoint_view.h
@@ -56,6 +56,7 @@
     std::string encode_changes(std::uint64_t since, bool own_only, TimePoint now) const;
 
     std::uint64_t sequence() const;
+    std::uint64_t own_sequence() const;
     std::uint64_t known_sequence(const std::string& owner_address, std::uint64_t incarnation) const;
     const std::map<std::string, Server>& servers() const;
 
--- a/src/cluster/registry/endpoint_view_impl.h
+++ b/src/cluster/registry/endpoint_view_impl.h
@@ -26,6 +26,7 @@
     std::vector<std::string> tick(TimePoint now);
     std::string encode_changes(std::uint64_t since, bool own_only, TimePoint now) const;
     std::uint64_t sequence() const { return sequence_; }
+    std::uint64_t own_sequence() const { return own_sequence_; }
     std::uint64_t known_sequence(const std::string& owner_address, std::uint64_t incarnation) const;
     const Servers& servers() const { return servers_; }
 
@@ -42,6 +43,10 @@
     bool is_owned(const Record& record) const;
     // Whether the record is a deregistration that its owner lost in a restart.
     bool is_orphaned(const Record& record) const;
+    // Whether this controller tells the others of the record.
+    bool is_announced_to_peers(const Record& record) const {
+        return is_owned(record) || record.was_owned || is_orphaned(record);
+    }
     // Whether no process announces the server any more: its owner is unreachable, or has restarted and all
     // running servers have registered again without this one.
     bool is_owner_lost(const Record& record, TimePoint now) const;
@@ -56,6 +61,8 @@
     // ---- changes of records (record_changes.cpp) ----
 
     void mark_changed(RecordIterator it);
+    // To be called after each change of sequence_, with the record that has changed.
+    void update_own_sequence(const Record& record);
     void mark_checked(RecordIterator it, TimePoint now);
     RecordIterator add_record(Server server, Ownership ownership, TimePoint first_heartbeat_at,
                               bool deregistered, TimePoint now);
@@ -103,6 +110,7 @@
     Records records_;
     std::vector<Owner> owners_;    // the first is this process, with an empty address in a gateway
     std::uint64_t sequence_ = 0;
+    std::uint64_t own_sequence_ = 0;    // of the latest change of a record for which is_announced_to_peers()
     mutable std::uint64_t encoded_updates_ = 0;    // see owners_to_announce()
     TimePoint started_at_{};                       // time of the first operation; zero before it
 };
--- a/src/cluster/registry/record_changes.cpp
+++ b/src/cluster/registry/record_changes.cpp
@@ -17,6 +17,11 @@
         record.sequence = ++sequence_;
         record.announced_call_count = record.server->second.call_count;
     });
+    update_own_sequence(*it);
+}
+
+void EndpointView::Impl::update_own_sequence(const Record& record) {
+    if (is_announced_to_peers(record)) own_sequence_ = sequence_;
 }
 
 void EndpointView::Impl::mark_checked(RecordIterator it, TimePoint now) {
@@ -37,7 +42,9 @@
     record.checked_at = now;
     record.ended_at = now;
     record.deregistered = deregistered;
-    return records_.insert(record).first;
+    const RecordIterator added = records_.insert(record).first;
+    update_own_sequence(*added);
+    return added;
 }
 
 void EndpointView::Impl::replace_server(RecordIterator it, Server server, Ownership ownership,
--- a/src/cluster/registry/service_registry.cpp
+++ b/src/cluster/registry/service_registry.cpp
@@ -30,6 +30,7 @@
 }
 void ServiceRegistry::tick(TimePoint now) { view_->tick(now); }
 std::uint64_t ServiceRegistry::sequence() const { return view_->sequence(); }
+std::uint64_t ServiceRegistry::own_sequence() const { return view_->own_sequence(); }
 std::string ServiceRegistry::encode_changes(std::uint64_t since, bool own_only, TimePoint now) const {
     return view_->encode_changes(since, own_only, now);
 }
--- a/src/cluster/registry/service_registry.h
+++ b/src/cluster/registry/service_registry.h
@@ -82,6 +82,8 @@
     // Returns the sequence number of the latest change in this incarnation. Readers request the changes after
     // the last one that they have. A heartbeat without new information is not a change.
     std::uint64_t sequence() const;
+    // Returns the sequence number of the latest change that encode_changes() contains with `own_only`.
+    std::uint64_t own_sequence() const;
     // Encodes the entries that changed after `since` (0: all) for merge_changes() and
     // EndpointDirectory::apply_changes(). Without changes the result is a few bytes that still show which
     // owners are running. With `own_only`, which is for other controllers, it contains just the entries that
--- a/src/cluster/registry/update_encoder.cpp
+++ b/src/cluster/registry/update_encoder.cpp
@@ -83,7 +83,7 @@
     std::vector<const Record*> announced;
     const auto& by_sequence = records_.get<BySequence>();
     for (auto it = by_sequence.upper_bound(since); it != by_sequence.end(); ++it)
-        if (!own_only || is_owned(*it) || it->was_owned || is_orphaned(*it)) announced.push_back(&*it);
+        if (!own_only || is_announced_to_peers(*it)) announced.push_back(&*it);
     return announced;
 }
 
--- a/src/controller/registry_forwarder.cpp
+++ b/src/controller/registry_forwarder.cpp
@@ -79,7 +79,8 @@
 }
 
 bool RegistryForwarder::must_send_to(const Peer& peer) const {
-    return peer.sent_sequence < registry_.sequence() || peer.wants_acknowledgement;
+    return peer.sent_sequence < std::max(registry_.own_sequence(), requested_sequence_) ||
+           peer.wants_acknowledgement;
 }
 
 std::uint64_t RegistryForwarder::majority_acknowledged_sequence(const std::vector<std::string>& voters,
--- a/src/controller/registry_forwarder.h
+++ b/src/controller/registry_forwarder.h
@@ -1,4 +1,5 @@
-// Replicates the servers that each controller owns to the other controllers. Changes are sent immediately.
+// Replicates the servers that each controller owns to the other controllers. Changes of them are sent
+// immediately; what other controllers announced is not passed on, so that a change costs one message to each.
 // Every second, a message to each peer proves that the sender runs and acknowledges the peer's changes up to
 // a sequence number; the peer resends what was lost after that number. Pure.
 #pragma once
