Do not send gateways again what is on its way to them

Cause: a gateway reports what it has every 500 ms, and a controller took what a report lacked for lost. On a link slower than that each report crosses an update on its way, so that the whole list of servers and the configuration were sent again and again, which kept the link full.

Why it works: updates are numbered, and a report tells the last number that arrived. Sessions keep the order, so that what a gateway lacks of an update that it has passed is lost and sent again at once; all later updates are on their way. The numbers fit into gaps of the messages: the samples of earlier versions are unchanged, and a gateway that tells no number is served as before.

--- a/src/cluster/subscription/subscription.capnp
+++ b/src/cluster/subscription/subscription.capnp
@@ -20,6 +20,7 @@
   quotaDivisor @5 :UInt32;
   ownershipVersion @6 :UInt64;
   keySamples @7 :List(KeySamples);
+  lastUpdate @8 :UInt32;
 }
 
 struct KeySamples {
@@ -40,4 +41,5 @@
   ownershipVersion @8 :UInt64;
   ownershipSince @9 :UInt64;
   ownershipChanges @10 :Data;
+  number @11 :UInt32;
 }
--- a/src/cluster/subscription/subscription.cpp
+++ b/src/cluster/subscription/subscription.cpp
@@ -1,5 +1,7 @@
 #include "cluster/subscription/subscription.h"
 
+#include <algorithm>
+
 #include "cluster/subscription/subscription.capnp.h"
 
 namespace shaletray::subscription {
@@ -10,6 +12,7 @@
 
 // Size of the first segment of a message: enough for all fields other than data.
 constexpr std::size_t kFieldWords = 64;
+constexpr std::uint32_t kHalfOfNumbers = std::uint32_t{1} << 31;
 
 ownership::KeySamples read_samples(wire::KeySamples::Reader reader) {
     ownership::KeySamples samples;
@@ -35,6 +38,7 @@
     client_state.known_sequence = reader.getKnownSequence();
     client_state.quota_divisor = reader.getQuotaDivisor();
     client_state.ownership_version = reader.getOwnershipVersion();
+    client_state.last_update = reader.getLastUpdate();
     for (const wire::KeySamples::Reader samples : reader.getKeySamples())
         client_state.key_samples.push_back(read_samples(samples));
     return client_state;
@@ -53,11 +57,18 @@
     update.ownership_version = reader.getOwnershipVersion();
     update.ownership_since = reader.getOwnershipSince();
     update.ownership_changes = runtime::text_of(reader.getOwnershipChanges());
+    update.number = reader.getNumber();
     return update;
 }
 
 }    // namespace
 
+bool is_later_update(std::uint32_t number, std::uint32_t other) {
+    return number != other && number - other < kHalfOfNumbers;
+}
+
+std::uint32_t update_number_after(std::uint32_t number) { return std::max(number + 1, kFirstUpdate); }
+
 std::string encode(const ClientState& client_state) {
     capnp::MallocMessageBuilder message(kFieldWords);
     auto builder = message.initRoot<wire::Message>().initClientState();
@@ -68,6 +79,7 @@
     builder.setKnownSequence(client_state.known_sequence);
     builder.setQuotaDivisor(client_state.quota_divisor);
     builder.setOwnershipVersion(client_state.ownership_version);
+    builder.setLastUpdate(client_state.last_update);
     const auto sample_count = static_cast<unsigned>(client_state.key_samples.size());
     if (sample_count > 0) {
         auto key_samples = builder.initKeySamples(sample_count);
@@ -95,6 +107,7 @@
         builder.setEndpointChanges(runtime::data_of(update.endpoint_changes));
     builder.setOwnershipVersion(update.ownership_version);
     builder.setOwnershipSince(update.ownership_since);
+    builder.setNumber(update.number);
     if (!update.ownership_changes.empty())
         builder.setOwnershipChanges(runtime::data_of(update.ownership_changes));
     return runtime::pack(message);
--- a/src/cluster/subscription/subscription.h
+++ b/src/cluster/subscription/subscription.h
@@ -15,6 +15,13 @@
 
 namespace shaletray::subscription {
 
+// Numbers of a controller's updates, in the order in which it sends them. They wrap around.
+constexpr std::uint32_t kNotTold = 0;    // the sender is of a version that does not number updates
+constexpr std::uint32_t kNoUpdate = 1;
+constexpr std::uint32_t kFirstUpdate = 2;
+bool is_later_update(std::uint32_t number, std::uint32_t other);
+std::uint32_t update_number_after(std::uint32_t number);
+
 // Sent by a gateway to each known controller every 500 ms, and immediately where it lacks changes.
 struct ClientState {
     std::uint64_t incarnation = 0;            // the gateway's
@@ -25,6 +32,8 @@
     std::uint64_t ownership_version = 0;      // of the ownership table of shard keys
     // Samples of the requests since the previous periodic report.
     std::vector<ownership::KeySamples> key_samples{};
+    // Number of the last update from this controller's known incarnation; kNoUpdate: none has arrived yet.
+    std::uint32_t last_update = kNotTold;
     bool operator==(const ClientState&) const = default;
 };
 
@@ -49,6 +58,7 @@
     // that requests the changes again.
     std::uint64_t ownership_version = 0, ownership_since = 0;
     std::string ownership_changes{};
+    std::uint32_t number = kNotTold;
     bool operator==(const ControlUpdate&) const = default;
 };
 
--- a/src/controller/configuration_publisher.cpp
+++ b/src/controller/configuration_publisher.cpp
@@ -39,8 +39,10 @@
     return entry->second;
 }
 
-std::string ConfigurationPublisher::make_update(ClientPosition& position, TimePoint now) {
+std::string ConfigurationPublisher::make_update(GatewayPosition& position, TimePoint now) {
     subscription::ControlUpdate update;
+    last_number_ = subscription::update_number_after(last_number_);
+    update.number = last_number_;
     update.incarnation = settings_.incarnation;
     update.quorum_confirmed = quorum_confirmed_;
     if (!versions_.empty()) {
@@ -66,21 +68,39 @@
     return subscription::encode(update);
 }
 
+void ConfigurationPublisher::set_incarnation(std::uint64_t incarnation) {
+    settings_.incarnation = incarnation;
+    for (auto& [address, client] : clients_) {
+        client.position.sequence = 0;
+        client.unconfirmed.clear();
+    }
+}
+
+GatewayPosition ConfigurationPublisher::reported_position(
+    const subscription::ClientState& client_state) const {
+    const bool is_known_incarnation = client_state.known_incarnation == settings_.incarnation;
+    return {client_state.version, client_state.digest,
+            is_known_incarnation ? std::min(client_state.known_sequence, registry_.sequence()) : 0,
+            client_state.ownership_version};
+}
+
 void ConfigurationPublisher::on_client_state(const std::string& from,
                                              const subscription::ClientState& client_state, TimePoint now,
                                              std::vector<OutgoingMessage>& messages) {
     Client& client = clients_[from];
-    client.position.version = client_state.version;
-    client.position.digest = client_state.digest;
-    const bool is_known_incarnation = client_state.known_incarnation == settings_.incarnation;
-    client.position.sequence =
-        is_known_incarnation ? std::min(client_state.known_sequence, registry_.sequence()) : 0;
-    client.position.ownership_version = client_state.ownership_version;
+    if (client.incarnation != client_state.incarnation) client.unconfirmed.clear();
+    client.incarnation = client_state.incarnation;
+    const bool tells_update = client_state.last_update != subscription::kNotTold;
+    const bool is_of_other_incarnation = client_state.known_incarnation != settings_.incarnation;
+    const std::uint32_t last_update =
+        tells_update && is_of_other_incarnation ? subscription::kNoUpdate : client_state.last_update;
+    client.position = client.unconfirmed.on_report(last_update, reported_position(client_state));
     client.last_contact = now;
     messages.push_back({from, make_update(client.position, now)});
+    client.unconfirmed.record_sent(last_number_, client.position);
 }
 
-bool ConfigurationPublisher::is_behind(const ClientPosition& position) const {
+bool ConfigurationPublisher::is_behind(const GatewayPosition& position) const {
     return position.version < version() || position.sequence < registry_.sequence() ||
            position.ownership_version < ownership_table_.version;
 }
@@ -95,17 +115,19 @@
         if (!is_active || !is_behind(client.position)) continue;
         const SharedUpdate& update = shared_update(client.position, updates, now);
         client.position = update.position_after;
+        client.unconfirmed.record_sent(update.number, client.position);
         messages.push_back({address, update.bytes});
     }
 }
 
 const ConfigurationPublisher::SharedUpdate& ConfigurationPublisher::shared_update(
-    const ClientPosition& position, SharedUpdates& updates, TimePoint now) {
+    const GatewayPosition& position, SharedUpdates& updates, TimePoint now) {
     const auto [entry, is_new] = updates.try_emplace(position);
     SharedUpdate& update = entry->second;
     if (is_new) {
         update.position_after = position;
         update.bytes = make_update(update.position_after, now);
+        update.number = last_number_;
     }
     return update;
 }
--- a/src/controller/configuration_publisher.h
+++ b/src/controller/configuration_publisher.h
@@ -15,6 +15,7 @@
 #include "cluster/ownership/ownership_table.h"
 #include "cluster/registry/service_registry.h"
 #include "cluster/subscription/subscription.h"
+#include "controller/unconfirmed_updates.h"
 
 namespace shaletray::controller {
 
@@ -36,7 +37,7 @@
         : settings_(settings), registry_(service_registry) {}
 
     // Sets this controller's new, higher incarnation; gateways then receive the whole registry again.
-    void set_incarnation(std::uint64_t incarnation) { settings_.incarnation = incarnation; }
+    void set_incarnation(std::uint64_t incarnation);
     // Publishes the newest committed configuration. Its version must be above all published before.
     void publish(configuration::Configuration new_configuration);
     // Publishes the newest committed ownership table.
@@ -57,28 +58,26 @@
         std::shared_ptr<const configuration::Configuration> snapshot;
         std::uint64_t digest = 0;
     };
-    // State of a gateway: what it last reported, advanced by what it was sent since.
-    struct ClientPosition {
-        std::uint64_t version = 0, digest = 0;    // of its configuration
-        std::uint64_t sequence = 0;               // of the registry
-        std::uint64_t ownership_version = 0;
-        auto operator<=>(const ClientPosition&) const = default;
-    };
     struct Client {
-        ClientPosition position;
+        std::uint64_t incarnation = 0;
+        GatewayPosition position;    // once it has received what it was sent
+        UnconfirmedUpdates unconfirmed;
         TimePoint last_contact{};
     };
     // Update for all clients at the same position.
     struct SharedUpdate {
         std::string bytes;
-        ClientPosition position_after;
+        std::uint32_t number = 0;
+        GatewayPosition position_after;
     };
-    using SharedUpdates = std::map<ClientPosition, SharedUpdate>;
+    using SharedUpdates = std::map<GatewayPosition, SharedUpdate>;
 
-    bool is_behind(const ClientPosition& position) const;
-    const SharedUpdate& shared_update(const ClientPosition& position, SharedUpdates& updates, TimePoint now);
-    // Advances the position to the state after the update.
-    std::string make_update(ClientPosition& position, TimePoint now);
+    bool is_behind(const GatewayPosition& position) const;
+    const SharedUpdate& shared_update(const GatewayPosition& position, SharedUpdates& updates, TimePoint now);
+    // The position that the gateway reports.
+    GatewayPosition reported_position(const subscription::ClientState& client_state) const;
+    // Advances the position to the state after the update, which has the number last_number_.
+    std::string make_update(GatewayPosition& position, TimePoint now);
     const std::string& delta_from(std::uint64_t version, std::uint64_t digest);
 
     Settings settings_;
@@ -89,6 +88,7 @@
     std::map<std::string, Client> clients_;    // by the gateway's address
     bool quorum_confirmed_ = false;
     ownership::OwnershipTable ownership_table_;
+    std::uint32_t last_number_ = subscription::kNoUpdate;    // of an update to any gateway
 };
 
 }    // namespace shaletray::controller
--- a/src/gateway/control_plane_client.cpp
+++ b/src/gateway/control_plane_client.cpp
@@ -149,6 +149,7 @@
     client_state.known_sequence = controller_state.sequence;
     client_state.quota_divisor = quota_divisor_;
     client_state.ownership_version = owners_.version();
+    client_state.last_update = controller_state.last_update;
     client_state.key_samples = key_samples;
     if (controller_state.requested_at < controller_state.last_update_at ||
         controller_state.requested_at == TimePoint{})
@@ -202,9 +203,16 @@
     controller_state.last_update_at = now;
     controller_state.confirmed = update.quorum_confirmed;
     if (update.quorum_confirmed) controller_state.last_confirmed_at = now;
-    if (controller_state.incarnation == update.incarnation) return;
-    controller_state.incarnation = update.incarnation;
-    controller_state.sequence = 0;
+    if (controller_state.incarnation != update.incarnation) {
+        controller_state.incarnation = update.incarnation;
+        controller_state.sequence = 0;
+        controller_state.last_update = subscription::kNoUpdate;
+    }
+    const bool is_first = controller_state.last_update == subscription::kNoUpdate;
+    const bool is_numbered = update.number != subscription::kNotTold;
+    if (is_numbered &&
+        (is_first || subscription::is_later_update(update.number, controller_state.last_update)))
+        controller_state.last_update = update.number;
 }
 
 // Returns false where the changes are malformed.
--- a/src/gateway/control_plane_client.h
+++ b/src/gateway/control_plane_client.h
@@ -101,6 +101,7 @@
         TimePoint subscribed_since{};
         TimePoint last_confirmed_at{};    // time of the last message that a quorum confirmed
         bool confirmed = false;           // whether a quorum confirmed its last message
+        std::uint32_t last_update = subscription::kNoUpdate;    // number of the last one of this incarnation
     };
     void send_client_state(const std::string& to, ControllerState& controller_state, TimePoint now,
                            const std::vector<ownership::KeySamples>& key_samples, Actions& actions);
--- a/tests/compatibility/registry_samples.cpp
+++ b/tests/compatibility/registry_samples.cpp
@@ -164,6 +164,8 @@
         .add("known_sequence", client_state.known_sequence);
     fields.add("counts", client_state.quota_divisor);
     fields.add("owners", client_state.ownership_version);
+    if (client_state.last_update != subscription::kNotTold)
+        fields.add("last_update", client_state.last_update);
     for (const ownership::KeySamples& samples : client_state.key_samples) {
         fields.add("service", samples.service).add("arrivals", samples.arrivals);
         for (const ownership::Key key : samples.keys) fields.add("key", key);
@@ -182,6 +184,7 @@
         .add("since", update.since_sequence);
     fields.add("sequence", update.sequence).add("servers", update.endpoint_changes);
     fields.add("owners_version", update.ownership_version).add("owners_since", update.ownership_since);
+    if (update.number != subscription::kNotTold) fields.add("number", update.number);
     return fields.add("owners", update.ownership_changes).text();
 }
 
@@ -206,7 +209,7 @@
     if (name == "watch-have-of-owners") return {name, name + "-with-samples"};
     if (name == "watch-have" || name == "watch-have-nothing")
         return {name, name + "-with-owners", name + "-with-samples"};
-    if (name == "watch-have-of-samples") return {name};
+    if (name == "watch-have-of-samples" || name.ends_with("-of-numbers")) return {name};
     if (name.starts_with("watch-") && !name.ends_with("-of-owners")) return {name, name + "-with-owners"};
     return {name};
 }
@@ -240,11 +243,16 @@
     owners.ownership_version = 19;
     owners.ownership_since = 17;
     owners.ownership_changes = "rows of owners";
+    subscription::ClientState numbers_known = client_state;
+    numbers_known.last_update = 23;
+    subscription::ControlUpdate numbered = unchanged;
+    numbered.number = 24;
     return in_all_versions(
         {watch_sample("have-nothing", nothing_yet), watch_sample("have", client_state),
          watch_sample("news-unchanged", unchanged), watch_sample("news-unconfirmed", unconfirmed),
          watch_sample("news", update), watch_sample("have-of-owners", owners_known),
-         watch_sample("have-of-samples", samples_taken), watch_sample("news-of-owners", owners)},
+         watch_sample("have-of-samples", samples_taken), watch_sample("news-of-owners", owners),
+         watch_sample("have-of-numbers", numbers_known), watch_sample("news-of-numbers", numbered)},
         versions_of);
 }
 
--- a/tests/controller/slow_link_test.cpp
+++ b/tests/controller/slow_link_test.cpp
@@ -18,7 +18,6 @@
 using namespace std::chrono_literals;
 using gateway::ControlPlaneClient;
 
-constexpr std::uint64_t kIncarnation = 7;
 constexpr const char* kController = "10.0.0.1:7100";
 constexpr Duration kReportDelay = 1ms;    // of the gateways' messages, whose direction of the link is free
 
@@ -36,6 +35,10 @@
         .value();
 }
 
+std::uint64_t incarnation_of(const std::string& update) {
+    return subscription::decode_control_update(update)->incarnation;
+}
+
 // The sending direction of the controller's link passes one message after the other.
 struct SlowLinkModel {
     struct Arrival {
@@ -47,11 +50,12 @@
         }
     };
     std::mt19937_64 random{1};
+    std::uint64_t incarnation = 7;    // of the controller
     TimePoint now = TimePoint{} + 1000s;
     double bytes_per_second = 250'000;    // 2 Mbit/s
     double loss_rate = 0;                 // of updates, as when a connection fails
-    registry::ServiceRegistry servers{{kController, kIncarnation, 1500ms, 4}};
-    ConfigurationPublisher publisher{{.incarnation = kIncarnation}, servers};
+    registry::ServiceRegistry servers{{kController, incarnation, 1500ms, 4}};
+    ConfigurationPublisher publisher{{.incarnation = incarnation}, servers};
     std::map<std::string, std::unique_ptr<ControlPlaneClient>> gateways;
     std::priority_queue<Arrival> updates, reports;
     TimePoint link_busy_until{};
@@ -73,15 +77,24 @@
         heartbeat.server.call_count = 1;
         servers.record_heartbeat(heartbeat, now);
     }
+    // In place of an earlier incarnation, if there is one.
     void add_gateway(const std::string& address) {
         ControlPlaneClient::Settings settings;
         settings.self = address;
-        settings.incarnation = 3;
+        settings.incarnation = ++last_order;
         // The model has no other controller to go to.
         settings.response_timeout = 60s;
         gateways[address] = std::make_unique<ControlPlaneClient>(settings);
         gateways[address]->set_controllers({{.address = kController}});
     }
+    void subscribe_anew(const std::string& address) {
+        gateways.at(address)->set_controllers({});
+        gateways.at(address)->set_controllers({{.address = kController}});
+    }
+    void raise_incarnation() {
+        servers.incarnation(++incarnation);
+        publisher.set_incarnation(incarnation);
+    }
     void send_updates(std::vector<ConfigurationPublisher::OutgoingMessage>& messages) {
         for (auto& message : messages) {
             const auto transfer_time =
@@ -109,7 +122,8 @@
         for (; !updates.empty() && updates.top().at <= now; updates.pop()) {
             ControlPlaneClient::Actions actions;
             const Arrival& update = updates.top();
-            gateways.at(update.gateway)->on_message(kController, kIncarnation, update.bytes, now, actions);
+            gateways.at(update.gateway)
+                ->on_message(kController, incarnation_of(update.bytes), update.bytes, now, actions);
             send_reports(update.gateway, actions);
         }
         for (auto& [address, client] : gateways) {
@@ -176,4 +190,34 @@
     }
 }
 
+Test(slow_link, brings_all_gateways_up_to_date_after_restarts_and_new_subscriptions) {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        SlowLinkModel model(4, 100);
+        model.random.seed(seed);
+        model.loss_rate = 0.1;
+        for (int change = 0; change < 10; ++change) {
+            const std::string gateway = fmt::format("10.0.1.{}:7101", model.random() % 4);
+            model.add_server(1000 + change);
+            model.notify();
+            switch (model.random() % 4) {
+                case 0: model.add_gateway(gateway); break;
+                case 1: model.subscribe_anew(gateway); break;
+                case 2: model.raise_incarnation(); break;
+                default: model.publisher.publish(make_configuration(2 + change, 190)); break;
+            }
+            model.run(Duration(static_cast<Duration::rep>(model.random() % 500'000)));
+        }
+        model.loss_rate = 0;
+        model.run(2500ms);
+        cr_assert(model.all_current(), "seed %lu", seed);
+    }
+}
+
+Test(slow_link, update_numbers_wrap_around) {
+    cr_assert(subscription::update_number_after(0xffffffff) == subscription::kFirstUpdate);
+    cr_assert(subscription::is_later_update(subscription::kFirstUpdate, 0xffffffff));
+    cr_assert(!subscription::is_later_update(0xffffffff, subscription::kFirstUpdate));
+    cr_assert(!subscription::is_later_update(7, 7));
+}
+
 }    // namespace shaletray::controller::test
