Redirect calls from controllers that cannot vote to those that may

Cause: a controller without a vote took every call itself. For an order it has to send the whole text to each voter and then to each other controller that fetches it, over its own link, within the 900 ms that a call may take; a text of a few times 15 KB cannot pass in time at all.

Why it works: the call is answered with 307 to a controller that may vote and is alive, taken in turn, in the server's zone if there is one. A voter writes and confirms the order on 100 Mbit/s. Where none is alive, calls are served here as before. Servers' heartbeats go along, so that such a controller owns no servers.

--- a/src/controller/api/response.cpp
+++ b/src/controller/api/response.cpp
@@ -27,6 +27,7 @@
 std::string extra_headers(const Response& response) {
     std::string headers;
     if (!response.allowed_method.empty()) headers += fmt::format("Allow: {}\r\n", response.allowed_method);
+    if (!response.location.empty()) headers += fmt::format("Location: {}\r\n", response.location);
     if (response.retry_after > Duration(0)) {
         const double seconds = std::chrono::duration<double>(response.retry_after).count();
         headers += fmt::format("Retry-After: {}\r\n", seconds);
@@ -60,6 +61,12 @@
     return {status, fmt::format("{{\"error\":\"{}\"}}", escape_json(message))};
 }
 
+Response redirect_to(std::string_view control_address, std::string_view target) {
+    Response response{HttpStatus::TemporaryRedirect, "{}"};
+    response.location = fmt::format("http://{}{}", control_address, target);
+    return response;
+}
+
 Response retry_later() {
     Response response = error(HttpStatus::ServiceUnavailable, "no majority in time");
     response.retry_after = kRetryDelay;
--- a/src/controller/api/response.h
+++ b/src/controller/api/response.h
@@ -12,6 +12,7 @@
 
 enum class HttpStatus : int {
     Ok = 200,
+    TemporaryRedirect = 307,
     BadRequest = 400,
     NotFound = 404,
     MethodNotAllowed = 405,
@@ -25,6 +26,7 @@
     std::string body;
     std::string allowed_method{};    // value of the Allow header; empty: no header
     Duration retry_after{};          // value of the Retry-After header; zero: no header
+    std::string location{};          // value of the Location header; empty: no header
 };
 
 // The headers of a response besides the standard ones, each with its line end.
@@ -43,6 +45,8 @@
 Response configuration_text(std::string text);
 // {"error":"..."}; control characters become blanks.
 Response error(HttpStatus status, std::string_view message);
+// 307: the controller with this control address serves the call. `target` is that of the request line.
+Response redirect_to(std::string_view control_address, std::string_view target);
 // 503: no majority responded in time, or the queue is full. The same call may succeed a moment later.
 Response retry_later();
 
--- a/src/controller/command_executor.cpp
+++ b/src/controller/command_executor.cpp
@@ -45,6 +45,12 @@
         [] { return DecodedCall(control_api::error(HttpStatus::BadRequest, "not understood")); });
 }
 
+// The zone of the caller; empty where the call does not tell it.
+std::string_view zone_of(const control_api::Command& command) {
+    const auto* heartbeat = std::get_if<control_api::HeartbeatCommand>(&command);
+    return heartbeat == nullptr ? std::string_view() : heartbeat->heartbeat.server.zone;
+}
+
 std::string_view event_name_of(consensus::Outcome outcome) {
     switch (outcome) {
         case consensus::Outcome::Conflict: return "configuration_conflict";
@@ -91,13 +97,14 @@
 
 CommandExecutor::CommandExecutor(Reactor& reactor, ConsensusDriver& consensus, ConfigurationLoader& loader,
                                  UpdateDistributor& distributor, OwnershipCoordinator& ownership,
-                                 std::string heartbeat_target)
+                                 std::string heartbeat_target, RedirectTarget redirect_target)
     : reactor_(reactor),
       consensus_(consensus),
       loader_(loader),
       distributor_(distributor),
       ownership_(ownership),
-      heartbeat_target_(std::move(heartbeat_target)) {}
+      heartbeat_target_(std::move(heartbeat_target)),
+      redirect_target_(std::move(redirect_target)) {}
 
 CommandExecutor::~CommandExecutor() {
     reactor_.cancel_timer(run_timer_);
@@ -113,6 +120,10 @@
     }
     PendingCommand pending;
     pending.command = std::move(std::get<control_api::Command>(decoded));
+    if (const auto target = redirect_target_(zone_of(pending.command))) {
+        ++statistics_.redirected;
+        return send_response(*caller, control_api::redirect_to(*target, call.target));
+    }
     pending.queued_at = reactor_.clock().now();
     if (auto* replacement = std::get_if<control_api::ReplaceConfiguration>(&pending.command))
         replacement->receive_time = call.receive_time;
--- a/src/controller/command_executor.h
+++ b/src/controller/command_executor.h
@@ -5,7 +5,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/net/api_server.h"
@@ -24,16 +26,20 @@
 public:
     struct Statistics {
         std::uint64_t heartbeats = 0, deregistrations = 0, replacements = 0, reads = 0;
+        std::uint64_t redirected = 0;                // to a controller that may vote
         std::uint64_t rejected = 0;                  // not a valid command, or the queue was full
         std::uint64_t conflicts = 0;                 // replacements whose version has another text
         std::uint64_t indeterminate = 0;             // replacements without a majority's response in time
         std::uint64_t departures_unconfirmed = 0;    // not acknowledged by a majority in time
         std::uint64_t malformed_hold_rows = 0;       // rows of held or released keys in heartbeats
     };
+    // Returns the control address of the controller that serves a call of a caller in this zone (empty: not
+    // known); none: this one.
+    using RedirectTarget = std::function<std::optional<std::string>(std::string_view zone)>;
     // Servers are told to send their heartbeats to `heartbeat_target`, this controller's control address.
     CommandExecutor(Reactor& reactor, ConsensusDriver& consensus, ConfigurationLoader& loader,
                     UpdateDistributor& distributor, OwnershipCoordinator& ownership,
-                    std::string heartbeat_target);
+                    std::string heartbeat_target, RedirectTarget redirect_target);
     ~CommandExecutor();
     CommandExecutor(const CommandExecutor&) = delete;
     CommandExecutor& operator=(const CommandExecutor&) = delete;
@@ -90,6 +96,7 @@
     UpdateDistributor& distributor_;
     OwnershipCoordinator& ownership_;
     std::string heartbeat_target_;
+    RedirectTarget redirect_target_;
     control_api::CommandQueue commands_;
     Timers::Id run_timer_ = 0;
     // Calls of servers that were run in this turn; acknowledged once their changes have been published.
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -67,7 +67,11 @@
                   }}),
       loader_(reactor_, [this](configuration::Configuration parsed) { on_configuration(std::move(parsed)); }),
       voter_manager_(reconciler_settings(settings_, address_, disk_id_), clock_, consensus_, membership_),
-      commands_(reactor_, consensus_, loader_, distributor_, ownership_, settings_.control_address) {
+      call_redirection_(settings_.quorum_member),
+      commands_(reactor_, consensus_, loader_, distributor_, ownership_, settings_.control_address,
+                [this](std::string_view zone) {
+                    return call_redirection_.next_target(membership_.members(), zone);
+                }) {
     start_servers();
     update_peers();
     on_entry_committed();
@@ -271,19 +275,20 @@
     const transport::SendBacklog backlog = connections_.backlog();
     const ApiServer::Counters& calls = control_server_->counters();
     return fmt::format(
-        "heartbeats={} deregistrations={} replacements={} reads={} rejected={} conflicts={} "
+        "heartbeats={} deregistrations={} replacements={} reads={} redirected={} rejected={} conflicts={} "
         "indeterminate={} departures_unconfirmed={} quorum={} quorum_losses={} gateways={} servers={} "
         "failed_writes={} calls={} calls_incomplete={} calls_abandoned={} unsent_bytes={} unsent_ms={} "
         "longest_tick_delay_ms={} "
         "messages_sent={} message_bytes={} messages_dropped={} messages_malformed={} {}",
         command_statistics.heartbeats, command_statistics.deregistrations, command_statistics.replacements,
-        command_statistics.reads, command_statistics.rejected, command_statistics.conflicts,
-        command_statistics.indeterminate, command_statistics.departures_unconfirmed,
-        consensus_.is_quorum_held() ? 1 : 0, consensus_.quorum_loss_count(), distributor_.gateway_count(),
-        distributor_.server_count(), consensus_.store().failed_writes(), calls.calls, calls.incomplete,
-        calls.abandoned, backlog.bytes, backlog.oldest_age / 1ms, longest_tick_delay_ / 1ms,
-        message_counters.sent, message_counters.sent_bytes, message_counters.dropped,
-        message_counters.malformed, transport::describe_traffic(message_counters));
+        command_statistics.reads, command_statistics.redirected, command_statistics.rejected,
+        command_statistics.conflicts, command_statistics.indeterminate,
+        command_statistics.departures_unconfirmed, consensus_.is_quorum_held() ? 1 : 0,
+        consensus_.quorum_loss_count(), distributor_.gateway_count(), distributor_.server_count(),
+        consensus_.store().failed_writes(), calls.calls, calls.incomplete, calls.abandoned, backlog.bytes,
+        backlog.oldest_age / 1ms, longest_tick_delay_ / 1ms, message_counters.sent,
+        message_counters.sent_bytes, message_counters.dropped, message_counters.malformed,
+        transport::describe_traffic(message_counters));
 }
 
 std::string Controller::metrics_text() const {
@@ -303,6 +308,7 @@
     append_value("heartbeats_total", command_statistics.heartbeats);
     append_value("deregistrations_total", command_statistics.deregistrations);
     append_value("replacements_total", command_statistics.replacements);
+    append_value("redirected_total", command_statistics.redirected);
     const OwnershipCoordinator::Statistics& ownership_statistics = ownership_.statistics();
     append_value("ownership_version", ownership_.table().version);
     append_value("ownership_services", ownership_.table().services.size());
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -13,6 +13,7 @@
 #include "cluster/consensus/state_store.h"
 #include "cluster/membership/membership.h"
 #include "cluster/transport/connection_manager.h"
+#include "controller/call_redirection.h"
 #include "controller/command_executor.h"
 #include "controller/configuration_loader.h"
 #include "controller/consensus_driver.h"
@@ -74,6 +75,7 @@
     OwnershipCoordinator ownership_;
     ConfigurationLoader loader_;
     VoterManager voter_manager_;
+    CallRedirection call_redirection_;
     CommandExecutor commands_;
     std::unique_ptr<ApiServer> control_server_, readiness_server_, metrics_server_;
     Timers::Id tick_timer_ = 0;
--- a/tests/controller/api/response_test.cpp
+++ b/tests/controller/api/response_test.cpp
@@ -19,6 +19,12 @@
     cr_assert(extra_headers(later) == "Retry-After: 0.1\r\n");
 }
 
+Test(response, names_the_controller_that_serves_the_call) {
+    const Response response = redirect_to("10.1.0.24:8042", "/members/i-7f3a91c2/heartbeat");
+    cr_assert(static_cast<int>(response.status) == 307);
+    cr_assert(extra_headers(response) == "Location: http://10.1.0.24:8042/members/i-7f3a91c2/heartbeat\r\n");
+}
+
 Test(response, grants_keys_as_rows_with_fence_and_handover) {
     using namespace std::chrono_literals;
     std::vector<ownership::Assignment> rows(2);
