Have joining gateways ask controllers that may vote first

Cause: a gateway whose seeds do not answer within 250 ms asks any controller that it knows for all members, also one without a disk, whose 2 Mbit/s then carry the pages for many gateways.

Why it works: those that may not vote are asked only where no voter is known, or after two rounds in which nobody answered.

--- a/src/cluster/membership/joining.cpp
+++ b/src/cluster/membership/joining.cpp
@@ -61,16 +61,14 @@
     return seed->address;
 }
 
-// Gateways ask the seeds and the known controllers one after the other until one answers.
+// Gateways ask the seeds and the known controllers one after the other until one answers. Those that may not
+// vote may have little bandwidth, and are asked only where no voter is known or none has answered for long.
 std::optional<std::string> Membership::Impl::choose_seed_as_gateway() {
     std::vector<std::string> candidates;
     for (const Seed& seed : seeds_) candidates.push_back(seed.address);
-    for (const auto& [address, member] : table_.members()) {
-        if (candidates.size() >= 2 * kMaxSeeds) break;
-        if (member.info.role != Role::Controller || member.state == State::Dead) continue;
-        if (std::find(candidates.begin(), candidates.end(), address) == candidates.end())
-            candidates.push_back(address);
-    }
+    add_controllers(true, candidates);
+    if (candidates.size() == seeds_.size() || join_timeout_ >= kLongJoinTimeout)
+        add_controllers(false, candidates);
     if (candidates.empty()) return std::nullopt;
     std::string source = candidates[next_seed_++ % candidates.size()];
     if (++seeds_asked_ > candidates.size()) {    // no candidate answered: start over with a longer timeout
@@ -80,6 +78,16 @@
     return source;
 }
 
+void Membership::Impl::add_controllers(bool voter_eligible, std::vector<std::string>& candidates) const {
+    for (const auto& [address, member] : table_.members()) {
+        if (candidates.size() >= 2 * kMaxSeeds) return;
+        if (member.info.role != Role::Controller || member.state == State::Dead) continue;
+        if (member.info.voter_eligible != voter_eligible) continue;
+        if (std::find(candidates.begin(), candidates.end(), address) == candidates.end())
+            candidates.push_back(address);
+    }
+}
+
 void Membership::Impl::on_full_sync(const std::string& source, const Packet& packet, TimePoint now) {
     if (joined_) return;
     const auto seed = std::find_if(seeds_.begin(), seeds_.end(),
--- a/src/cluster/membership/membership_impl.h
+++ b/src/cluster/membership/membership_impl.h
@@ -256,6 +256,8 @@
     std::optional<std::string> choose_join_source();
     std::optional<std::string> choose_seed_as_controller();
     std::optional<std::string> choose_seed_as_gateway();
+    // Adds the known controllers that are not dead and may or may not vote, up to a limit.
+    void add_controllers(bool voter_eligible, std::vector<std::string>& candidates) const;
     // Called when the source has sent all members that it knows; `packet` is the last page.
     void on_full_sync(const std::string& source, const Packet& packet, TimePoint now);
 
--- a/src/cluster/membership/protocol_constants.h
+++ b/src/cluster/membership/protocol_constants.h
@@ -103,6 +103,8 @@
 constexpr int kControllerSeedAttempts = 3;
 // Upper bound of the timeout of a join request, which doubles when no seed answers.
 constexpr Duration kMaxJoinTimeout = std::chrono::seconds(2);
+// From this timeout on, gateways ask also the controllers that may not vote.
+constexpr Duration kLongJoinTimeout = std::chrono::seconds(1);
 // Delay before a gateway asks again after a reply from a controller that has not joined itself.
 constexpr Duration kJoinRetryDelay = std::chrono::milliseconds(150);
 
--- a/tests/cluster/membership/joining_test.cpp
+++ b/tests/cluster/membership/joining_test.cpp
@@ -1,6 +1,8 @@
 // Joining: seeds, restarted processes, and what a joining process learns.
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 #include "cluster/membership/cluster_helpers.h"
 
 using namespace shaletray;
@@ -62,6 +64,39 @@
     cr_assert(net.run_until(4s, [&] { return net.all_agree(); }));
 }
 
+// Guards against controllers on slow links that bring all members to joining gateways while others have
+// bandwidth.
+Test(membership, joining_gateways_ask_controllers_that_may_vote_first) {
+    constexpr int kControllers = 12, kSeeds = 3, kFirstOtherVoter = 9;
+    const auto may_vote = [](const std::string& address) {
+        for (int i = kSeeds; i < kFirstOtherVoter; ++i)
+            if (address == Network::controller_address(i)) return false;
+        return true;
+    };
+    std::size_t by_voters = 0, by_others = 0;    // bytes sent by the controllers that are not seeds
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        Network net(seed);
+        net.may_vote = may_vote;
+        const TimePoint reachable_at = net.now + 800ms;
+        net.is_cut = [&](const std::string& from, const std::string&) {    // replies of the seeds are late
+            const std::vector<std::string> seeds = seed_addresses();
+            return net.now < reachable_at && std::find(seeds.begin(), seeds.end(), from) != seeds.end();
+        };
+        net.alter_bytes = [&](const std::string& from, std::string bytes) {
+            for (int i = kSeeds; i < kControllers; ++i)
+                if (from == Network::controller_address(i))
+                    (may_vote(from) ? by_voters : by_others) += bytes.size();
+            return bytes;
+        };
+        net.start_all(kControllers, 150, 300ms);
+        net.run_for(300ms);
+        cr_assert(net.run_until(4s, [&] { return all_joined(net); }), "seed %lu", seed);
+    }
+    const std::size_t per_voter = by_voters / (kControllers - kFirstOtherVoter);
+    const std::size_t per_other = by_others / (kFirstOtherVoter - kSeeds);
+    cr_assert(per_other < per_voter / 2, "%zu bytes, a voter %zu", per_other, per_voter);
+}
+
 Test(membership, joins_despite_dead_or_wrong_seeds_and_after_seeds_are_replaced) {
     Network net(3);
     start_stable_cluster(net);
--- a/tests/cluster/membership/network.h
+++ b/tests/cluster/membership/network.h
@@ -34,6 +34,7 @@
     std::function<std::string(const std::string& from, std::string bytes)> alter_bytes;    // in transit
     // Called after each call of a member.
     std::function<void(const std::string& at, const Actions& actions)> on_actions;
+    std::function<bool(const std::string& address)> may_vote;    // of controllers; null: none may
     std::map<std::string, Process> processes;
 
     static std::string controller_address(int index) {
@@ -52,6 +53,7 @@
         settings.self.zone = "santander-a";
         settings.self.region = "cantabria";
         if (settings.self.role == Role::Controller) settings.self.control_address = "10.1.0.1:8042";
+        settings.self.voter_eligible = may_vote && may_vote(address);
         settings.self.incarnation = incarnation;
         settings.seeds = std::move(seeds);
         settings.random_seed = random_();
