--- a/testbed/soak/soak.cpp
+++ b/testbed/soak/soak.cpp
@@ -212,7 +212,8 @@
     app.add_option("--seed", options.seed, "seed of all random draws");
     app.add_option("--seconds", options.seconds, "duration of the load")->check(CLI::Range(5.0, 3600.0));
     app.add_option("--gateways", options.gateways, "machines with a gateway")->check(CLI::Range(1, 400));
-    app.add_option("--controllers", options.controllers, "machines with a controller")
+    app.add_option("--controllers", options.controllers,
+                   "machines with a controller and a disk; two more have a controller alone")
         ->check(CLI::Range(1, 9));
     app.add_option("--tenants", options.tenants, "tenants with callers")->check(CLI::Range(1, 1000));
     app.add_option("--rate", options.requests_per_gateway, "requests a second for each gateway")
--- a/testbed/soak/soak_plan.cpp
+++ b/testbed/soak/soak_plan.cpp
@@ -18,6 +18,8 @@
 // The load for which servers are provided; each executes only a limited number of requests at a time.
 constexpr double kRequestsPerServer = 60.0;
 constexpr int kMinServersPerService = 4;
+// They may not vote, and redirect the calls of operators and servers.
+constexpr int kControllersWithoutDisk = 2;
 constexpr std::size_t kBodySize = 200;    // bytes, of non-idempotent requests
 // Interval and first start of the series of events, in seconds, and the maximum number of events in a series.
 constexpr double kSeriesInterval = 4.0, kFirstSeriesStart = 2.0;
@@ -77,9 +79,10 @@
     plan.log_level = options.log_level;
     plan.extra_settings["bounds.quota_slack"] = fmt::format("{}", options.quota_slack);
     for (int m = 0; m < options.gateways; ++m) {
-        const bool has_controller = m < options.controllers;
+        const bool has_disk = m < options.controllers;
+        const bool has_controller = m < options.controllers + kControllersWithoutDisk;
         plan.machines.push_back(
-            {kZones[static_cast<std::size_t>(m) % kZones.size()], true, has_controller, has_controller});
+            {kZones[static_cast<std::size_t>(m) % kZones.size()], true, has_controller, has_disk});
     }
     const double total_rate = options.requests_per_gateway * options.gateways;
     const int server_count =
