Add a failing test of the pings that a suspect member gets

No code: with 16 or 32 pingers in place of all (tried) an_isolated_process_does_not_spread_its_suspicions fails, as a process that was cut off learns too slowly that the others run.

--- a/tests/cluster/membership/probing_test.cpp
+++ b/tests/cluster/membership/probing_test.cpp
@@ -158,3 +158,35 @@
         cr_expect(net.all_agree());
     }
 }
+
+// Guards against members that stay suspect since the pings of all others fill their links: the load that a
+// suspect member gets must not grow with the cluster.
+Test(membership, a_suspect_member_gets_a_bounded_number_of_pings) {
+    constexpr std::size_t kMaxBytesPerSecond = 24 * 1024;    // for all control traffic of a gateway
+    constexpr std::size_t kSeconds = 4;
+    for (const int gateway_count : {30, 100, 297}) {
+        Network net(11);
+        net.start_all(3, gateway_count, 300ms);
+        net.run_for(6s);
+        cr_assert(net.all_agree());
+        const std::string subject = Network::gateway_address(5);
+        std::string recipient;
+        std::size_t received = 0;
+        net.is_cut = [&](const std::string& from, const std::string& to) {
+            recipient = to;
+            return from == subject;
+        };
+        net.alter_bytes = [&](const std::string&, std::string bytes) {
+            if (recipient == subject) received += bytes.size();
+            return bytes;
+        };
+        net.run_for(6s);
+        cr_assert_eq(net.count_seen_as(subject, State::Suspect), gateway_count + 2);
+        received = 0;
+        net.run_for(Duration(std::chrono::seconds(kSeconds)));
+        cr_assert(received < kSeconds * kMaxBytesPerSecond, "%zu bytes a second with %d gateways",
+                  received / kSeconds, gateway_count);
+        net.is_cut = nullptr;
+        cr_assert(net.run_until(4s, [&] { return net.all_agree(); }), "with %d gateways", gateway_count);
+    }
+}
