Complete proposals and reads of the register by one path

A proposal refused since too many were pending completed without a trace, so that its line in the log would have told a took_ms since the start of the clock.

Change: complete() for both kinds of requests, also for those refused; the unused times are gone.

--- a/src/cluster/consensus/proposal_trace.h
+++ b/src/cluster/consensus/proposal_trace.h
@@ -16,8 +16,6 @@
 
 // A ballot round of this replica.
 struct RoundTrace {
-    TimePoint prepare_started_at{};           // zero: no round was started
-    TimePoint accept_started_at{};            // zero: a majority has not promised
     std::vector<VoterReply> promises{};       // in the order of their arrival
     std::vector<VoterReply> acceptances{};    // the voter has stored the entry; in the order of their arrival
 };
--- a/src/cluster/consensus/register_impl.h
+++ b/src/cluster/consensus/register_impl.h
@@ -71,8 +71,8 @@
 
     // --- register_requests.cpp: requests of clients
 
-    void complete_request(RequestId request_id, Outcome outcome);
-    void complete_proposal(const Proposal& proposal, Outcome outcome);
+    void complete(const Proposal& proposal, Outcome outcome);
+    void complete(const PendingRead& read, Outcome outcome);
     ProposalWait current_wait(const Proposal& proposal) const;
     void complete_proposals();
     void complete_reads();
--- a/src/cluster/consensus/register_proposer.cpp
+++ b/src/cluster/consensus/register_proposer.cpp
@@ -31,7 +31,6 @@
     }
     round_ = std::move(round);
     latest_round_ = {};
-    latest_round_.prepare_started_at = now_;
     send_round_messages(voter_addresses());
 }
 
@@ -78,7 +77,6 @@
 
 void ReplicatedRegister::Impl::start_accept_phase() {
     round_->phase = BallotRound::Phase::Accept;
-    latest_round_.accept_started_at = now_;
     round_->started_at = now_;
     round_->call_number = call_number_;
     round_->retry.start(now_, settings_.round_timeout);
--- a/src/cluster/consensus/register_requests.cpp
+++ b/src/cluster/consensus/register_requests.cpp
@@ -17,13 +17,15 @@
 
 void ReplicatedRegister::Impl::propose(RequestId request_id, std::uint64_t version, std::string text,
                                        TimePoint deadline) {
-    if (proposals_.size() >= kMaxProposals) return complete_request(request_id, Outcome::Indeterminate);
-    proposals_.push_back({request_id, version, std::move(text), call_number_, now_, deadline});
+    Proposal proposal{request_id, version, std::move(text), call_number_, now_, deadline};
+    if (proposals_.size() >= kMaxProposals) return complete(proposal, Outcome::Indeterminate);
+    proposals_.push_back(std::move(proposal));
 }
 
 void ReplicatedRegister::Impl::quorum_read(RequestId request_id, TimePoint deadline) {
-    if (pending_reads_.size() >= kMaxReads) return complete_request(request_id, Outcome::Indeterminate);
-    pending_reads_.push_back({request_id, call_number_, deadline});
+    const PendingRead read{request_id, call_number_, deadline};
+    if (pending_reads_.size() >= kMaxReads) return complete(read, Outcome::Indeterminate);
+    pending_reads_.push_back(read);
 }
 
 void ReplicatedRegister::Impl::change_voters(std::vector<Replica> current_voters,
@@ -40,15 +42,15 @@
     table_change_ = OwnershipTableChange{std::move(current_table), std::move(new_table), deadline};
 }
 
-void ReplicatedRegister::Impl::complete_request(RequestId request_id, Outcome outcome) {
-    actions_->completions.push_back({request_id, outcome, {}});
-}
-
-void ReplicatedRegister::Impl::complete_proposal(const Proposal& proposal, Outcome outcome) {
+void ReplicatedRegister::Impl::complete(const Proposal& proposal, Outcome outcome) {
     const ProposalTrace trace{proposal.proposed_at, current_wait(proposal), latest_round_};
     actions_->completions.push_back({proposal.request_id, outcome, trace});
 }
 
+void ReplicatedRegister::Impl::complete(const PendingRead& read, Outcome outcome) {
+    actions_->completions.push_back({read.request_id, outcome, {}});
+}
+
 ProposalWait ReplicatedRegister::Impl::current_wait(const Proposal& proposal) const {
     if (next_instance() == 0 || catch_up_) return ProposalWait::Entry;
     if (!is_newer(proposal)) return ProposalWait::Confirmation;
@@ -59,7 +61,7 @@
 void ReplicatedRegister::Impl::complete_proposals() {
     std::erase_if(proposals_, [this](const Proposal& proposal) {
         if (is_newer(proposal) || !is_confirmed_since(proposal.call_number)) return false;
-        complete_proposal(proposal, proposal_outcome(proposal));
+        complete(proposal, proposal_outcome(proposal));
         return true;
     });
 }
@@ -69,22 +71,19 @@
 void ReplicatedRegister::Impl::complete_reads() {
     std::erase_if(pending_reads_, [this](const PendingRead& read) {
         if (!is_confirmed_since(read.call_number) || now_ >= read.deadline) return false;
-        complete_request(read.request_id, Outcome::Committed);
+        complete(read, Outcome::Committed);
         return true;
     });
 }
 
 void ReplicatedRegister::Impl::expire_requests() {
-    std::erase_if(proposals_, [this](const Proposal& proposal) {
-        if (now_ < proposal.deadline) return false;
-        complete_proposal(proposal, Outcome::Indeterminate);
+    const auto expire_if_late = [this](const auto& request) {
+        if (now_ < request.deadline) return false;
+        complete(request, Outcome::Indeterminate);
         return true;
-    });
-    std::erase_if(pending_reads_, [this](const PendingRead& read) {
-        if (now_ < read.deadline) return false;
-        complete_request(read.request_id, Outcome::Indeterminate);
-        return true;
-    });
+    };
+    std::erase_if(proposals_, expire_if_late);
+    std::erase_if(pending_reads_, expire_if_late);
     if (voter_change_ && now_ >= voter_change_->deadline) voter_change_.reset();
     if (table_change_ && now_ >= table_change_->deadline) table_change_.reset();
 }
