--- a/src/cluster/membership/membership.h
+++ b/src/cluster/membership/membership.h
@@ -56,6 +56,11 @@
     TimePoint state_changed_at{};
 };
 
+// Whether the member is a controller that runs and whose disk may vote.
+inline bool may_vote(const Member& member) {
+    return member.info.role == Role::Controller && member.info.voter_eligible && member.state == State::Alive;
+}
+
 struct Settings {
     MemberInfo self;                   // its incarnation is raised if an earlier process had a higher one
     std::vector<std::string> seeds;    // internal addresses of controllers to join through
--- a/src/controller/call_redirection.cpp
+++ b/src/controller/call_redirection.cpp
@@ -6,8 +6,7 @@
 namespace {
 
 bool can_serve(const membership::Member& member) {
-    return member.info.role == membership::Role::Controller && member.info.voter_eligible &&
-           member.state == membership::State::Alive && !member.info.control_address.empty();
+    return may_vote(member) && !member.info.control_address.empty();
 }
 
 }    // namespace
--- a/src/controller/voter_reconciler.cpp
+++ b/src/controller/voter_reconciler.cpp
@@ -15,11 +15,6 @@
     return std::find(voters.begin(), voters.end(), replica) != voters.end();
 }
 
-bool may_vote(const membership::Member& member) {
-    return member.info.role == membership::Role::Controller && member.info.voter_eligible &&
-           member.state == membership::State::Alive;
-}
-
 // The upper limit tolerates one failure more than the system has to, so that a replacement in progress does
 // not lower the promised fault tolerance.
 VoterLimits voter_limits(std::size_t max_failures) {
