--- a/src/cluster/registry/endpoint_view_impl.h
+++ b/src/cluster/registry/endpoint_view_impl.h
@@ -61,8 +61,6 @@
     // ---- changes of records (record_changes.cpp) ----
 
     void mark_changed(RecordIterator it);
-    // To be called after each change of sequence_, with the record that has changed.
-    void update_own_sequence(const Record& record);
     void mark_checked(RecordIterator it, TimePoint now);
     RecordIterator add_record(Server server, Ownership ownership, TimePoint first_heartbeat_at,
                               bool deregistered, TimePoint now);
--- a/src/cluster/registry/record_changes.cpp
+++ b/src/cluster/registry/record_changes.cpp
@@ -17,11 +17,7 @@
         record.sequence = ++sequence_;
         record.announced_call_count = record.server->second.call_count;
     });
-    update_own_sequence(*it);
-}
-
-void EndpointView::Impl::update_own_sequence(const Record& record) {
-    if (is_announced_to_peers(record)) own_sequence_ = sequence_;
+    if (is_announced_to_peers(*it)) own_sequence_ = sequence_;
 }
 
 void EndpointView::Impl::mark_checked(RecordIterator it, TimePoint now) {
@@ -35,15 +31,13 @@
                                               TimePoint now) {
     Record record;
     record.server = servers_.emplace(server.id, std::move(server)).first;
-    record.sequence = ++sequence_;
-    record.announced_call_count = record.server->second.call_count;
     record.ownership = ownership;
     record.first_heartbeat_at = first_heartbeat_at;
     record.checked_at = now;
     record.ended_at = now;
     record.deregistered = deregistered;
     const RecordIterator added = records_.insert(record).first;
-    update_own_sequence(*added);
+    mark_changed(added);
     return added;
 }
 
--- a/src/cluster/transport/limits.h
+++ b/src/cluster/transport/limits.h
@@ -42,8 +42,7 @@
 // Frames that sessions hold since their peers do not take them yet.
 struct SendBacklog {
     std::size_t bytes = 0;
-    std::size_t sessions = 0;    // with such frames
-    Duration oldest_age{};       // of the frame that waits for longest
+    Duration oldest_age{};    // of the frame that waits for longest
 };
 
 // Returns "sent_KIND=messages/bytes received_KIND=messages/bytes" for each kind of message with traffic, for
--- a/src/cluster/transport/outbound_session.cpp
+++ b/src/cluster/transport/outbound_session.cpp
@@ -138,7 +138,6 @@
     const std::size_t bytes = send_queue_.total_bytes();
     if (bytes == 0 || (batch_is_written && send_queue_.empty())) return;
     backlog.bytes += bytes;
-    ++backlog.sessions;
     backlog.oldest_age = std::max(backlog.oldest_age, reactor_.clock().now() - send_queue_.oldest_push());
 }
 
