--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,6 +1,6 @@
 // UNASKED: while many clients upload bodies of some megabytes, one tenant sends many times its usual. A server runs a
 // request once it has its whole body, and records how much it got.
-#include "../common/harness.hh"
+#include "../harness.hh"
 
 using namespace review;
 
