--- a/src/base/common/counters.cpp
+++ b/src/base/common/counters.cpp
@@ -20,8 +20,11 @@
                         peer_send_failed, peer_messages_received, peer_messages_dropped);
     text += fmt::format("clients: accepted={} open={} rejected={}\n", clients_accepted, open_clients,
                         clients_rejected);
-    text += fmt::format("flows: begun={} open={} broken={} uploads={}\n", streamed_answers,
-                        open_streamed_answers, broken_streamed_answers, streamed_uploads);
+    text += fmt::format("messages: heads={} submitted={}\n", request_heads_read, requests_submitted);
+    text += fmt::format(
+        "flows: begun={} open={} broken={} uploads={} answered_received={} answered_incomplete={}\n",
+        streamed_answers, open_streamed_answers, broken_streamed_answers, streamed_uploads,
+        uploads_answered_received, uploads_answered_incomplete);
     text += fmt::format("servers: dialled={} dial_failed={} reused={} open={} bad_answers={}\n",
                         server_connections_dialled, server_dials_failed, server_connections_reused,
                         open_server_connections, malformed_answers);
--- a/src/base/common/counters.h
+++ b/src/base/common/counters.h
@@ -31,7 +31,11 @@
     Counter peer_messages_sent = 0, peer_send_failed = 0, peer_messages_received = 0,
             peer_messages_dropped = 0;
     Counter clients_accepted = 0, open_clients = 0, clients_rejected = 0;
+    // A message of a client is submitted once at most: requests_submitted never exceeds request_heads_read.
+    Counter request_heads_read = 0, requests_submitted = 0;
     Counter streamed_uploads = 0;    // requests forwarded while they are received
+    // Of these, answered before their body was passed on whole: whether its end had arrived by then.
+    Counter uploads_answered_received = 0, uploads_answered_incomplete = 0;
     Counter streamed_answers = 0, open_streamed_answers = 0,
             broken_streamed_answers = 0;    // responses forwarded in pieces
     Counter server_connections_dialled = 0, server_dials_failed = 0, server_connections_reused = 0,
--- a/src/data_plane/proxy/client_connection.cpp
+++ b/src/data_plane/proxy/client_connection.cpp
@@ -181,7 +181,9 @@
             start_deferred_request();
             continue;
         }
+        const bool had_head = parser_.head_complete();
         const http::ParseStatus status = parser_.parse(stream_.input_buffer());
+        if (!had_head && parser_.head_complete()) ++context_.counters.request_heads_read;
         if (status == http::ParseStatus::Malformed) {
             reject_request(context_.request_mapping.map_parse_error(parser_.error()));
         } else if (status == http::ParseStatus::Complete) {
@@ -260,6 +262,7 @@
     pending_request->body_incomplete = !complete;
     pending_request->is_submitting = true;
     forwarding_upload_ = true;    // delays the rest until the request's ticket is known
+    ++context_.counters.requests_submitted;
     const std::uint64_t request_ticket =
         context_.request_handler.submit(*pending_request, std::move(incoming));
     forwarding_upload_ = false;
@@ -416,7 +419,11 @@
     request.has_response = true;
     if (state_ == State::Closed) return;
     request.queued_response = std::move(response);
-    if (request.body_incomplete) finish_upload();
+    if (request.body_incomplete && active_upload_) {
+        ++(parser_.is_complete() ? context_.counters.uploads_answered_received
+                                 : context_.counters.uploads_answered_incomplete);
+        finish_upload();
+    }
     release_request(request);
     write_ready_responses();
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -328,6 +328,7 @@
          .admissions = dispatcher_->admissions(),
          .quota = quota_balancer_->statistics(),
          .units = units,
+         .data_plane = counters_,
          .ready = ready(),
          .holds_quota_lease = had_lease_,
          .configuration_version = configuration_index ? configuration_index->config().version : 0,
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -22,6 +22,16 @@
     }
 }
 
+void append_uploads(std::string& out, const Counters& counters) {
+    append_value(out, "request_heads_read_total", static_cast<double>(counters.request_heads_read));
+    append_value(out, "requests_submitted_total", static_cast<double>(counters.requests_submitted));
+    append_value(out, "streamed_uploads_total", static_cast<double>(counters.streamed_uploads));
+    append_value(out, "uploads_answered_early_total{body=\"received\"}",
+                 static_cast<double>(counters.uploads_answered_received));
+    append_value(out, "uploads_answered_early_total{body=\"incomplete\"}",
+                 static_cast<double>(counters.uploads_answered_incomplete));
+}
+
 void append_misdirections(std::string& out, const std::string& service, std::string_view reason,
                           std::uint64_t count) {
     out += fmt::format("gateway_misdirected_total{{service=\"{}\",reason=\"{}\"}} {}\n",
@@ -51,6 +61,7 @@
     append_value(out, "ownership_rows", static_cast<double>(source.owner_rows));
     append_value(out, "requests_without_owner_total", static_cast<double>(source.without_owner));
     append_value(out, "requests_sent_to_new_owner_total", static_cast<double>(source.sent_to_new_owner));
+    append_uploads(out, source.data_plane);
     append_counts(out, "tenant", source.admissions.by_tenant());
     append_counts(out, "route", source.admissions.by_route());
     for (const auto& [service, counts] : source.misdirections) {
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "base/common/counters.h"
 #include "cluster/quota/quota_balancer.h"
 #include "gateway/admission_statistics.h"
 #include "gateway/service_pipelines.h"
@@ -16,6 +17,7 @@
     const AdmissionStatistics& admissions;
     quota::Statistics quota;                       // of this incarnation
     const std::map<std::string, double>& units;    // that can be granted now, by tenant
+    const Counters& data_plane;
     bool ready = false, holds_quota_lease = false;
     std::uint64_t configuration_version = 0;
     std::uint32_t quota_divisor = 0;    // the number of gateways that share the quotas; 0: no lease
--- a/tests/gateway/gateway_metrics_test.cpp
+++ b/tests/gateway/gateway_metrics_test.cpp
@@ -8,10 +8,11 @@
 
 namespace {
 
-std::string metrics_of(const AdmissionStatistics& admissions) {
+std::string metrics_of(const AdmissionStatistics& admissions, const Counters& data_plane = {}) {
     const std::string zone = "north";
     const std::map<std::string, double> units = {{"acme", 2.5}};
-    return format_metrics({.zone = zone, .admissions = admissions, .quota = {}, .units = units});
+    return format_metrics(
+        {.zone = zone, .admissions = admissions, .quota = {}, .units = units, .data_plane = data_plane});
 }
 
 bool contains(const std::string& text, const std::string& line) {
@@ -58,7 +59,23 @@
                                              .admissions = admissions,
                                              .quota = {},
                                              .units = units,
+                                             .data_plane = {},
                                              .misdirections = {{"saves", {2, 7}}}});
     cr_expect(contains(text, R"(gateway_misdirected_total{service="saves",reason="other_instance"} 2)"));
     cr_expect(contains(text, R"(gateway_misdirected_total{service="saves",reason="key_not_held"} 7)"));
 }
+
+Test(gateway_metrics, report_uploads_that_are_answered_before_their_end) {
+    Counters counters;
+    counters.request_heads_read = 9;
+    counters.requests_submitted = 8;
+    counters.streamed_uploads = 7;
+    counters.uploads_answered_received = 3;
+    counters.uploads_answered_incomplete = 4;
+    const std::string text = metrics_of({}, counters);
+    cr_expect(contains(text, "gateway_request_heads_read_total 9"));
+    cr_expect(contains(text, "gateway_requests_submitted_total 8"));
+    cr_expect(contains(text, "gateway_streamed_uploads_total 7"));
+    cr_expect(contains(text, R"(gateway_uploads_answered_early_total{body="received"} 3)"));
+    cr_expect(contains(text, R"(gateway_uploads_answered_early_total{body="incomplete"} 4)"));
+}
