Drop the rest of an answered body before the next head is read

Cause: where a gateway streams bodies for want of memory, the answer ended the upload, but neither the rest of its message left the input buffer nor was the parser reset. Where the end of the body had arrived, the connection was kept, and the parser, still at the same head, gave the same request once more. Change: a request knows whether its message is still being received; whatever answers it drops what has arrived of the message and resets the parser, and where the end has not arrived, the connection closes. Bytes leave the buffer before a server's connection gets them, which may end the request within that call. Why it works: the parser reaches a next head only at the start of a message, and no part of a body is in the buffer then.

--- a/src/data_plane/proxy/client_connection.cpp
+++ b/src/data_plane/proxy/client_connection.cpp
@@ -59,7 +59,13 @@
     }
 
     bool is_reading_enabled() const { return reading_enabled_; }
+    bool is_forwarding() const { return is_forwarding_; }    // deliver() is on the call stack
     BodySink* sink() const { return sink_; }
+    void deliver(std::string_view bytes) {
+        is_forwarding_ = true;
+        sink_->on_body_chunk(bytes);
+        is_forwarding_ = false;
+    }
     void on_received(TimePoint received_at, bool complete) {
         last_received_at_ = received_at;
         complete_ = complete;
@@ -71,7 +77,7 @@
     std::string initial_body_;
     std::optional<std::uint64_t> content_length_;
     BodySink* sink_ = nullptr;
-    bool reading_enabled_ = false, complete_ = false;
+    bool reading_enabled_ = false, complete_ = false, is_forwarding_ = false;
     TimePoint last_received_at_;
 };
 
@@ -259,13 +265,11 @@
     PendingRequest* const pending_request = &add_pending_request(keep_alive, http10);
     pending_request->request_id = std::move(request.request_id);
     pending_request->allows_pipelining = request.allows_pipelining;
-    pending_request->body_incomplete = !complete;
+    pending_request->is_being_received = !complete;
     pending_request->is_submitting = true;
-    forwarding_upload_ = true;    // delays the rest until the request's ticket is known
     ++context_.counters.requests_submitted;
     const std::uint64_t request_ticket =
         context_.request_handler.submit(*pending_request, std::move(incoming));
-    forwarding_upload_ = false;
     // submit() adds no other request: if this one is not the last, it already has its response.
     if (pending_requests_.empty() || pending_requests_.back().get() != pending_request ||
         pending_request->has_response)
@@ -318,47 +322,63 @@
     context_.buffered_body_bytes -= std::exchange(reserved_body_bytes_, 0);
 }
 
-// Parses what has arrived of the body and passes it to the sink, which may pause the stream or end the
+// Parses what has arrived of the body and passes it to the sink, which may pause the upload or end its
 // request.
 void ClientConnection::forward_upload() {
-    if (!active_upload_ || forwarding_upload_) return;
-    forwarding_upload_ = true;
+    const std::shared_ptr<StreamedUpload> upload = active_upload_;    // kept alive, since the sink may end it
+    // Nothing is passed on before the request's ticket is known.
+    if (!upload || upload->is_forwarding() || pending_requests_.back()->is_submitting) return;
+    if (!receive_upload(*upload)) return;
+    deliver_received_body(*upload);
+    if (active_upload_ != upload) return;    // its request was answered
+    if (parser_.is_complete() && parser_.body(stream_.input_buffer()).empty() && upload->is_streaming()) {
+        finish_upload();
+        prepare_next_message();
+        pending_requests_.back()->is_being_received = false;
+        stream_.set_reading(true);
+        return upload->sink()->on_body_end(true);
+    }
+    pause_client_if_behind(*upload);
+}
+
+// Parses what has arrived. False if the request was rejected, since its body is malformed or too long.
+bool ClientConnection::receive_upload(StreamedUpload& upload) {
     http::Buffer& input = stream_.input_buffer();
-    const TimePoint now = context_.reactor.clock().now();
     const std::size_t buffered_before = parser_.body(input).size();
     if (!parser_.is_complete() && parser_.parse(input) == http::ParseStatus::Malformed) {
         reject_upload(context_.request_mapping.map_parse_error(parser_.error()));
-    } else if (uploaded_bytes_ + parser_.body(input).size() > parser_.limits().max_body_size) {
-        reject_upload(context_.request_mapping.map_parse_error(http::ParseError::BodyTooLarge));
-    } else {
-        if (parser_.is_complete() ? !active_upload_->is_complete()
-                                  : parser_.body(input).size() > buffered_before)
-            active_upload_->on_received(now, parser_.is_complete());
-        if (const std::string_view bytes = parser_.body(input);
-            active_upload_->is_reading_enabled() && !bytes.empty()) {
-            const std::size_t count = bytes.size();
-            active_upload_->sink()->on_body_chunk(bytes);
-            if (active_upload_) {
-                parser_.consume_body(input, count);
-                uploaded_bytes_ += count;
-            }
-        }
+        return false;
     }
-    forwarding_upload_ = false;
-    if (!active_upload_) return;
-    if (parser_.is_complete() && parser_.body(input).empty() && active_upload_->is_streaming()) {
-        const std::shared_ptr<StreamedUpload> upload = active_upload_;
-        finish_upload();
-        prepare_next_message();
-        stream_.set_reading(true);
-        return upload->sink()->on_body_end(true);
+    const std::size_t buffered_size = parser_.body(input).size();
+    if (uploaded_bytes_ + buffered_size > parser_.limits().max_body_size) {
+        reject_upload(context_.request_mapping.map_parse_error(http::ParseError::BodyTooLarge));
+        return false;
     }
-    // The time during which backpressure pauses the client does not count towards its timeout.
-    const bool was_paused = !active_upload_->is_reading_enabled() && input.size() > kMaxPipelinedBytes;
-    if (was_paused && reading_paused_at_ == TimePoint{}) reading_paused_at_ = now;
-    else if (!was_paused && reading_paused_at_ != TimePoint{})
+    const bool has_progressed =
+        parser_.is_complete() ? !upload.is_complete() : buffered_size > buffered_before;
+    if (has_progressed) upload.on_received(context_.reactor.clock().now(), parser_.is_complete());
+    return true;
+}
+
+// The bytes leave the buffer before the sink gets them: it may end the request within the call, and what is
+// in the buffer then belongs to the next message.
+void ClientConnection::deliver_received_body(StreamedUpload& upload) {
+    http::Buffer& input = stream_.input_buffer();
+    if (!upload.is_reading_enabled() || parser_.body(input).empty()) return;
+    const std::string bytes(parser_.body(input));
+    parser_.consume_body(input, bytes.size());
+    uploaded_bytes_ += bytes.size();
+    upload.deliver(bytes);
+}
+
+// The time during which backpressure pauses the client does not count towards its timeout.
+void ClientConnection::pause_client_if_behind(const StreamedUpload& upload) {
+    const TimePoint now = context_.reactor.clock().now();
+    const bool is_paused = !upload.is_reading_enabled() && stream_.input_buffer().size() > kMaxPipelinedBytes;
+    if (is_paused && reading_paused_at_ == TimePoint{}) reading_paused_at_ = now;
+    else if (!is_paused && reading_paused_at_ != TimePoint{})
         state_since_ += now - std::exchange(reading_paused_at_, TimePoint{});
-    stream_.set_reading(!was_paused);
+    stream_.set_reading(!is_paused);
 }
 
 void ClientConnection::finish_upload() {
@@ -368,6 +388,19 @@
     reading_paused_at_ = TimePoint{};
 }
 
+// Nobody waits for the rest of a message whose request has its response. What has arrived of it must not be
+// read as a message of its own, or as this one once more.
+void ClientConnection::drop_rest_of_message(PendingRequest& request) {
+    if (!request.is_being_received) return;
+    if (active_upload_)
+        ++(parser_.is_complete() ? context_.counters.uploads_answered_received
+                                 : context_.counters.uploads_answered_incomplete);
+    finish_upload();
+    if (!parser_.is_complete()) return;    // the connection closes after the response
+    prepare_next_message();
+    request.is_being_received = false;
+}
+
 // The body turned out to be malformed after its request was submitted; it is the only pending one then.
 void ClientConnection::reject_upload(const ImmediateRejection& rejection) {
     PendingRequest& pending_request = *pending_requests_.front();
@@ -381,10 +414,9 @@
     GatewayAnswer local_response = rejection_response(rejection);
     const bool keeps_connection = rejection.keep_alive && parser_.is_complete();
     const bool keep_alive = keeps_connection && parser_.keep_alive(), http10 = parser_.is_http10();
-    if (keeps_connection) prepare_next_message();
     PendingRequest& pending_request = add_pending_request(keep_alive, http10);
     pending_request.allows_pipelining = keeps_connection && !http10;
-    pending_request.body_incomplete = !keeps_connection;
+    pending_request.is_being_received = parser_.head_complete();
     set_response(pending_request, std::move(local_response));
 }
 
@@ -419,11 +451,7 @@
     request.has_response = true;
     if (state_ == State::Closed) return;
     request.queued_response = std::move(response);
-    if (request.body_incomplete && active_upload_) {
-        ++(parser_.is_complete() ? context_.counters.uploads_answered_received
-                                 : context_.counters.uploads_answered_incomplete);
-        finish_upload();
-    }
+    drop_rest_of_message(request);
     release_request(request);
     write_ready_responses();
 }
@@ -441,7 +469,7 @@
 void ClientConnection::write_response(PendingRequest& request) {
     Payload response = std::move(request.queued_response);
     ++context_.counters.answers_by_status[response.status_code];
-    responded_early_ = request.body_incomplete && parser_.head_complete() && !parser_.is_complete();
+    responded_early_ = request.is_being_received;
     const bool ends_connection =
         pending_requests_.size() == 1 && (context_.is_closing_down() || should_close_transient());
     keep_alive_ = request.keep_alive && !responded_early_ && !ends_connection;
--- a/src/data_plane/proxy/client_connection.h
+++ b/src/data_plane/proxy/client_connection.h
@@ -1,6 +1,10 @@
 // The server side of one client connection: reads requests, submits them and writes the responses in request
 // order. Requests that allow pipelining are processed concurrently. Only for the reactor's thread; the
 // listener owns the connections.
+//
+// A message is submitted once. The connection owns its bytes until they are handed to a server's connection.
+// Once its request is answered, the rest of them is dropped before the next head is read; where the rest has
+// not arrived, the connection closes after the response instead (RFC 9112, 9.3).
 #pragma once
 
 #include <cstdint>
@@ -86,8 +90,8 @@
         std::string request_id;
         std::size_t reserved_body_bytes = 0;    // part of context_.buffered_body_bytes
         bool keep_alive = true, is_http10 = false, allows_pipelining = false;
-        bool body_incomplete = false;    // its body was still being received when it was started
-        bool is_submitting = false;      // its ticket is not known yet
+        bool is_being_received = false;    // its head is read, and the end of its message is not consumed yet
+        bool is_submitting = false;        // its ticket is not known yet
         bool has_response = false;    // `queued_response` is set and is written after the earlier responses
         Payload queued_response;
     };
@@ -107,7 +111,11 @@
 
     void process_input();
     void forward_upload();
+    bool receive_upload(StreamedUpload& upload);
+    void deliver_received_body(StreamedUpload& upload);
+    void pause_client_if_behind(const StreamedUpload& upload);
     void finish_upload();
+    void drop_rest_of_message(PendingRequest& request);
     void reject_upload(const ImmediateRejection& rejection);
     bool can_read() const;
     void accept_request();
@@ -150,8 +158,7 @@
     std::shared_ptr<StreamedUpload> active_upload_;    // of the request that is being streamed
     std::size_t uploaded_bytes_ = 0;                   // bytes of it passed to the sink
     TimePoint reading_paused_at_{};                    // since when backpressure has paused its client
-    bool forwarding_upload_ = false;
-    std::shared_ptr<BodyStream> response_stream_;    // of the response that is being streamed
+    std::shared_ptr<BodyStream> response_stream_;      // of the response that is being streamed
     BodyFraming response_framing_ = BodyFraming::ContentLength;
     bool keep_alive_ = true;    // after the response that is being written
     bool continue_sent_ = false, is_processing_ = false, is_writing_ = false;
