Play long uploads through the gateway's data plane while servers answer early

Change: a seeded test judges, from both ends, that each request runs once at most with the body that was sent, never after a 429 or 503, and that answers come in order. The fixture's servers answer early or fall silent, stop reading and read on later; a tenant has a quota.

--- a/tests/gateway/data_plane_fixture.h
+++ b/tests/gateway/data_plane_fixture.h
@@ -29,7 +29,17 @@
     // Chooses the behaviour for a request; `complete` is false where only its head was received so far.
     std::function<ServerBehaviour(const ServerRequest&, bool complete)> choose_behaviour =
         [](const ServerRequest&, bool) { return ServerBehaviour::Respond; };
+    // Chooses the response to a request of which kEarlyResponseSize bytes and not the whole body have
+    // arrived. After one the server reads nothing more for delay_turns, then reads on; it runs no request
+    // that it answered so.
+    std::function<EarlyResponse(const ServerRequest&)> choose_early_response = [](const ServerRequest&) {
+        return EarlyResponse::None;
+    };
+    std::map<std::string, std::string> executed_bodies;    // as the server got them, by request id
+    std::map<EarlyResponse, int> early_response_counts;
     std::string idle_timeout_header;    // in success responses: the server's stated idle timeout
+    // Of the tenant whose key is "key-limited"; requests without a key belong to no tenant.
+    static constexpr quota::Quota kLimitedQuota{.rate = 20.0, .burst = 4.0};
     std::function<int()> delay_turns = [] { return 5; };    // delay of late responses, in turns
     std::map<std::string, int> arrivals, executions;        // by request id
     std::map<std::string, std::string> response_bodies;     // of success responses, by request id
@@ -45,7 +55,8 @@
     std::optional<ClientListener> listener;
     std::vector<std::unique_ptr<ScriptedServer>> servers;
 
-    explicit DataPlaneFixture(int count, std::uint64_t seed = 1, bool is_sharded = false)
+    explicit DataPlaneFixture(int count, std::uint64_t seed = 1, bool is_sharded = false,
+                              double max_memory_mb = 128.0)
         : balancer(balancer_settings(), loop.clock.now()) {
         gateway::DispatcherSettings dispatcher_settings;
         dispatcher_settings.seed = seed;
@@ -59,8 +70,10 @@
         request_mapper.set_configuration(configuration_index);
         publish_servers();
         dispatcher->set_configuration(configuration_index);
-        listener.emplace(*dispatcher, request_mapper, ClientCapacity{1024, 128.0}, counters, loop.reactor,
-                         ClientListener::listen("127.0.0.1:0"), 200, [] { return true; });
+        balancer.set_quotas({{"limited", kLimitedQuota}}, loop.clock.now());
+        balancer.set_peers({{"127.0.0.1:1"}, 1, loop.clock.now() + std::chrono::hours(1)}, loop.clock.now());
+        listener.emplace(*dispatcher, request_mapper, ClientCapacity{1024, max_memory_mb}, counters,
+                         loop.reactor, ClientListener::listen("127.0.0.1:0"), 200, [] { return true; });
         loop.reactor.set_busy_polling(true);
     }
     // Announces the current endpoints to the gateway.
@@ -140,16 +153,20 @@
         pay_route.target_latency = 300ms;
         pay_route.targets = {{"pay", 1}};
         pay_route.max_attempts = 3;
+        pay_route.is_public = true;
         configuration::Route read_route = pay_route;
         read_route.name = "read";
         read_route.path_prefix = "/read/";
         read_route.kind = configuration::RouteKind::Idempotent;
         result.routes = {pay_route, read_route};
         result.services = {{"pay", "/health", 0, is_sharded}};
+        result.tenants = {
+            {"limited", {"key-limited"}, std::nullopt, kLimitedQuota.rate, kLimitedQuota.burst}};
         return result;
     }
 
     void process_input(ScriptedServer& server, ScriptedServer::Connection& connection) {
+        if (connection.stops_reading) return;
         char bytes[16384];
         bool ended = false;
         try {
@@ -186,6 +203,7 @@
                 connection,
                 fmt::format("HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", server.id));
         }
+        if (status != http::ParseStatus::Complete && respond_early(server, connection, request)) return;
         if (status != http::ParseStatus::Complete) {
             if (connection.input.size() < 65536 ||
                 choose_behaviour(request, false) != ServerBehaviour::ResetDuringRead)
@@ -196,15 +214,36 @@
         }
         ++arrivals[request.id];
         finish_request(connection);
+        if (std::exchange(connection.has_responded_early, false)) return;
         if (request.target_instance != server.id)
             return ScriptedServer::send(
                 connection,
                 fmt::format("HTTP/1.1 421 No\r\nX-Attempt-Id: {}\r\nContent-Length: 0\r\n\r\n", request.id));
         const ServerBehaviour behaviour = choose_behaviour(request, true);
         ++behaviour_counts[behaviour];
-        if (executes_request(behaviour)) ++executions[request.id];
+        if (executes_request(behaviour)) {
+            ++executions[request.id];
+            executed_bodies[request.id] = request.body;
+        }
         apply_behaviour(server, connection, request, behaviour);
     }
+    // Returns false where the server waits for the rest of the body.
+    bool respond_early(ScriptedServer& server, ScriptedServer::Connection& connection,
+                       const ServerRequest& request) {
+        if (connection.has_responded_early || connection.input.size() < kEarlyResponseSize) return false;
+        const EarlyResponse kind = choose_early_response(request);
+        if (kind == EarlyResponse::None) return false;
+        ++early_response_counts[kind];
+        connection.has_responded_early = connection.stops_reading = true;
+        if (kind != EarlyResponse::Silence)
+            ScriptedServer::send(connection,
+                                 fmt::format("HTTP/1.1 {}\r\nX-Attempt-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                                             early_status_line(kind), request.id));
+        schedule_on_connection(server, connection, [](ScriptedServer::Connection& live_connection) {
+            live_connection.stops_reading = false;
+        });
+        return true;
+    }
     static void finish_request(ScriptedServer::Connection& connection) {
         connection.input.consume(connection.parser.message_size());
         connection.parser.reset();
--- a/tests/gateway/scripted_server.h
+++ b/tests/gateway/scripted_server.h
@@ -41,6 +41,29 @@
 };
 inline bool executes_request(ServerBehaviour behaviour) { return behaviour <= ServerBehaviour::Restart; }
 
+// How a server treats a request whose body is still arriving: it responds at once, or falls silent, and stops
+// reading.
+enum class EarlyResponse {
+    None,
+    Silence,
+    NotExecuted503,
+    NotExecuted429,
+    Misdirected421,
+    ServerError500,
+    Refused403
+};
+constexpr std::size_t kEarlyResponseSize = 32 * 1024;    // bytes that have arrived by then
+// Status line and headers, without the last line end.
+inline const char* early_status_line(EarlyResponse kind) {
+    switch (kind) {
+        case EarlyResponse::NotExecuted503: return "503 Full\r\nX-Not-Executed: 1";
+        case EarlyResponse::NotExecuted429: return "429 Full\r\nX-Not-Executed: 1";
+        case EarlyResponse::Misdirected421: return "421 No";
+        case EarlyResponse::ServerError500: return "500 No";
+        default: return "403 No";
+    }
+}
+
 struct ServerRequest {
     std::string id, method, target, body,
         target_instance;    // target_instance: the server that the request names
@@ -55,11 +78,14 @@
         http::Parser parser{http::Parser::Kind::Request, {16 * 1024, 64 * 1024 * 1024, 100}};
         std::string last_response;    // last response sent
         bool resets_on_input = false, is_open = true, is_paused = false;
+        bool stops_reading = false,
+             has_responded_early = false;    // has_responded_early: to the request at hand
         std::uint64_t number = 0;
     };
     explicit ScriptedServer(std::string name) : id(std::move(name)) {
         listening_socket_.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true, false);
         listening_socket_.listen(64);
+        listening_socket_.setReceiveBufferSize(kReceiveBufferSize);
         listening_socket_.setBlocking(false);
         address = listening_socket_.address().toString();
     }
@@ -101,6 +127,8 @@
     std::list<Connection> connections;
 
 private:
+    static constexpr int kReceiveBufferSize =
+        64 * 1024;    // bytes, so that a server that stops reading is felt
     Poco::Net::ServerSocket listening_socket_;
     bool is_listening_ = true;
     std::uint64_t last_number_ = 0;
