Guard the balancer in service against uploads submitted again after a refusal

Change: a test on real sockets: six uploads past their quota, each followed by another request on the same connection; the server records whole and truncated bodies.

--- a/tests/balancer/service/gateway_test.cpp
+++ b/tests/balancer/service/gateway_test.cpp
@@ -374,6 +374,40 @@
     }
 }
 
+// Guards against uploads that are refused and then submitted again with the tail of their body (issue 65):
+// here each waits for units of its customer's quota until its time is up, while the rest of it arrives.
+TEST(Operations, UploadRefusedAtItsQuotaIsNotSubmittedAgain) {
+    const std::string body(150'000, 'x');
+    std::atomic<int> served{0}, truncated{0};
+    HttpStub server([&](HTTPServerRequest& request, HTTPServerResponse& response) {
+        std::string received;
+        Poco::StreamCopier::copyToString(request.stream(), received);
+        const bool is_whole = request.getMethod() == "GET" || received == body;
+        ++(is_whole ? served : truncated);
+        response.setContentLength(2);
+        response.send() << "ok";
+    });
+    DiscoveryStub discovery(member("a", server.address()));
+    GatewayConfig config = parse_config(config_text(discovery.address(), member("a", server.address())));
+    config.max_memory_mb = 1;    // too small to buffer this body
+    Gateway gateway(config);
+    Client client(gateway);
+    int answered = 0, refused = 0;
+    for (int i = 0; i < 12; ++i) answered += client.send_request("/read", "capped", "100m").status == 200;
+    for (int i = 0; i < 6; ++i) {
+        const Answer answer = client.send_request("/submit", "capped", "200m", body);
+        EXPECT_TRUE(answer.status == 200 || answer.status == 429) << answer.status;
+        ++(answer.status == 200 ? answered : refused);
+        EXPECT_EQ(client.send_request("/health/ready").body, "ready\n");
+    }
+    const Counters& counters = gateway.stop_and_join();
+    EXPECT_EQ(truncated, 0);
+    EXPECT_EQ(served, answered);
+    EXPECT_GT(refused, 0);
+    EXPECT_GT(counters.uploads_answered_received, 0U);
+    EXPECT_LE(counters.requests_submitted, counters.request_heads_read);
+}
+
 // A server that closes the connection during an upload has not executed the request: it is refused at once
 // and not retried. A client that stalls gets status 408, and the attempt of a client that disconnects is
 // cancelled.
