Receive uploads in a module of their own

Need: client_connection.cpp held reading, answering, timeouts and the streamed body in 616 lines; who owns the bytes of a body was spread over eight methods and four members. Change: UploadReader (upload_reader.h) has the part of an upload that it works on the parser and buffer for: begin, forward, finish, abandon. The connection decides what its progress means. Behaviour unchanged: the time that a client is paused is added to its limit instead of being taken off its age.

--- a/src/data_plane/proxy/client_connection.cpp
+++ b/src/data_plane/proxy/client_connection.cpp
@@ -14,7 +14,6 @@
 constexpr std::size_t kTransientSocketDivisor = 16;
 constexpr Duration kResponseStallTimeout = 15s;    // for a client that does not read its response
 constexpr Duration kLingerTimeout = 1s;            // for a client to read the last response before the close
-constexpr std::size_t kMaxPipelinedBytes = 96 * 1024;    // that a client may send before its response
 // Bytes read and discarded after the last response. After a response in the middle of a body, the rest of the
 // body is discarded at the same minimum rate, since many clients read a response only after sending their
 // body.
@@ -33,58 +32,11 @@
 
 }    // namespace
 
-// A request body being streamed. The engine may hold it for longer than the client's connection exists.
-class ClientConnection::StreamedUpload : public RequestUpload {
-public:
-    StreamedUpload(ClientConnection& connection, std::string_view initial_body,
-                   std::optional<std::uint64_t> content_length, TimePoint now)
-        : client_(&connection),
-          initial_body_(initial_body),
-          content_length_(content_length),
-          last_received_at_(now) {}
-
-    std::string_view initial_body() const override { return initial_body_; }
-    bool is_streaming() const override { return sink_ != nullptr; }
-    bool is_complete() const override { return complete_; }
-    TimePoint last_received_at() const override { return last_received_at_; }
-    std::optional<std::uint64_t> total_length() const override { return content_length_; }
-    void start(BodySink& sink) override {
-        std::string().swap(initial_body_);
-        sink_ = &sink;
-        set_reading(true);
-    }
-    void set_reading(bool enabled) override {
-        reading_enabled_ = enabled;
-        if (enabled && client_ != nullptr) client_->forward_upload();
-    }
-
-    bool is_reading_enabled() const { return reading_enabled_; }
-    bool is_forwarding() const { return is_forwarding_; }    // deliver() is on the call stack
-    BodySink* sink() const { return sink_; }
-    void deliver(std::string_view bytes) {
-        is_forwarding_ = true;
-        sink_->on_body_chunk(bytes);
-        is_forwarding_ = false;
-    }
-    void on_received(TimePoint received_at, bool complete) {
-        last_received_at_ = received_at;
-        complete_ = complete;
-    }
-    void detach() { client_ = nullptr; }
-
-private:
-    ClientConnection* client_;
-    std::string initial_body_;
-    std::optional<std::uint64_t> content_length_;
-    BodySink* sink_ = nullptr;
-    bool reading_enabled_ = false, complete_ = false, is_forwarding_ = false;
-    TimePoint last_received_at_;
-};
-
 ClientConnection::ClientConnection(ClientContext& context, const Poco::Net::StreamSocket& socket)
     : context_(context),
       stream_(context.reactor, *this),
       parser_(http::Parser::Kind::Request, context.request_mapping.parser_limits()),
+      upload_reader_(stream_, parser_, context.reactor.clock(), [this] { forward_upload(); }),
       state_since_(context.reactor.clock().now()) {
     stream_.attach(socket);
     ++context_.counters.clients_accepted;
@@ -95,7 +47,7 @@
 ClientConnection::~ClientConnection() {
     enter_state(State::Closed);    // removes it from the shared context
     finish_streamed_response();
-    finish_upload();
+    upload_reader_.abandon();
     release_body_memory();
     for (const auto& pending_request : pending_requests_) release_request(*pending_request);
     --context_.counters.open_clients;
@@ -160,9 +112,9 @@
     // with every byte. For the first request it runs from the connection's start.
     if (state_ == State::Reading && !std::exchange(request_started_, true) && request_count_ > 0)
         enter_state(State::Reading);
-    if (active_upload_) forward_upload();
+    if (upload_reader_.is_active()) forward_upload();
     else process_input();
-    if (state_ != State::Reading && stream_.input_buffer().size() > kMaxPipelinedBytes)
+    if (state_ != State::Reading && stream_.input_buffer().size() > kMaxReadAheadBytes)
         stream_.set_reading(false);
 }
 
@@ -249,15 +201,9 @@
         return reject_request({409, "a request with this id is still open"});
     IncomingRequest& incoming = request.incoming;
     if (!complete) {
-        http::Buffer& input = stream_.input_buffer();
-        const std::string_view initial_body = parser_.body(input);
         release_body_memory();
-        uploaded_bytes_ = 0;
-        active_upload_ = std::make_shared<StreamedUpload>(*this, initial_body, parser_.content_length(),
-                                                          context_.reactor.clock().now());
-        incoming.payload.upload = active_upload_;
+        incoming.payload.upload = upload_reader_.begin();
         ++context_.counters.streamed_uploads;
-        parser_.consume_body(input, initial_body.size());
         continue_sent_ = false;
     } else if (parser_.is_complete()) {
         prepare_next_message();
@@ -322,80 +268,35 @@
     context_.buffered_body_bytes -= std::exchange(reserved_body_bytes_, 0);
 }
 
-// Parses what has arrived of the body and passes it to the sink, which may pause the upload or end its
-// request.
+// Passes on what has arrived of the body of a request that is being streamed.
 void ClientConnection::forward_upload() {
-    const std::shared_ptr<StreamedUpload> upload = active_upload_;    // kept alive, since the sink may end it
     // Nothing is passed on before the request's ticket is known.
-    if (!upload || upload->is_forwarding() || pending_requests_.back()->is_submitting) return;
-    if (!receive_upload(*upload)) return;
-    deliver_received_body(*upload);
-    if (active_upload_ != upload) return;    // its request was answered
-    if (parser_.is_complete() && parser_.body(stream_.input_buffer()).empty() && upload->is_streaming()) {
-        finish_upload();
-        prepare_next_message();
-        pending_requests_.back()->is_being_received = false;
-        stream_.set_reading(true);
-        return upload->sink()->on_body_end(true);
-    }
-    pause_client_if_behind(*upload);
-}
-
-// Parses what has arrived. False if the request was rejected, since its body is malformed or too long.
-bool ClientConnection::receive_upload(StreamedUpload& upload) {
-    http::Buffer& input = stream_.input_buffer();
-    const std::size_t buffered_before = parser_.body(input).size();
-    if (!parser_.is_complete() && parser_.parse(input) == http::ParseStatus::Malformed) {
-        reject_upload(context_.request_mapping.map_parse_error(parser_.error()));
-        return false;
-    }
-    const std::size_t buffered_size = parser_.body(input).size();
-    if (uploaded_bytes_ + buffered_size > parser_.limits().max_body_size) {
-        reject_upload(context_.request_mapping.map_parse_error(http::ParseError::BodyTooLarge));
-        return false;
+    if (!upload_reader_.is_active() || pending_requests_.back()->is_submitting) return;
+    switch (upload_reader_.forward()) {
+        case UploadReader::Progress::Receiving:
+        case UploadReader::Progress::Ended: break;
+        case UploadReader::Progress::Malformed:
+            reject_upload(context_.request_mapping.map_parse_error(parser_.error()));
+            break;
+        case UploadReader::Progress::TooLong:
+            reject_upload(context_.request_mapping.map_parse_error(http::ParseError::BodyTooLarge));
+            break;
+        case UploadReader::Progress::Delivered:
+            prepare_next_message();
+            pending_requests_.back()->is_being_received = false;
+            upload_reader_.finish();
+            break;
     }
-    const bool has_progressed =
-        parser_.is_complete() ? !upload.is_complete() : buffered_size > buffered_before;
-    if (has_progressed) upload.on_received(context_.reactor.clock().now(), parser_.is_complete());
-    return true;
-}
-
-// The bytes leave the buffer before the sink gets them: it may end the request within the call, and what is
-// in the buffer then belongs to the next message.
-void ClientConnection::deliver_received_body(StreamedUpload& upload) {
-    http::Buffer& input = stream_.input_buffer();
-    if (!upload.is_reading_enabled() || parser_.body(input).empty()) return;
-    const std::string bytes(parser_.body(input));
-    parser_.consume_body(input, bytes.size());
-    uploaded_bytes_ += bytes.size();
-    upload.deliver(bytes);
-}
-
-// The time during which backpressure pauses the client does not count towards its timeout.
-void ClientConnection::pause_client_if_behind(const StreamedUpload& upload) {
-    const TimePoint now = context_.reactor.clock().now();
-    const bool is_paused = !upload.is_reading_enabled() && stream_.input_buffer().size() > kMaxPipelinedBytes;
-    if (is_paused && reading_paused_at_ == TimePoint{}) reading_paused_at_ = now;
-    else if (!is_paused && reading_paused_at_ != TimePoint{})
-        state_since_ += now - std::exchange(reading_paused_at_, TimePoint{});
-    stream_.set_reading(!is_paused);
-}
-
-void ClientConnection::finish_upload() {
-    if (!active_upload_) return;
-    active_upload_->detach();
-    active_upload_.reset();
-    reading_paused_at_ = TimePoint{};
 }
 
 // Nobody waits for the rest of a message whose request has its response. What has arrived of it must not be
 // read as a message of its own, or as this one once more.
 void ClientConnection::drop_rest_of_message(PendingRequest& request) {
     if (!request.is_being_received) return;
-    if (active_upload_)
+    if (upload_reader_.is_active())
         ++(parser_.is_complete() ? context_.counters.uploads_answered_received
                                  : context_.counters.uploads_answered_incomplete);
-    finish_upload();
+    upload_reader_.abandon();
     if (!parser_.is_complete()) return;    // the connection closes after the response
     prepare_next_message();
     request.is_being_received = false;
@@ -577,7 +478,9 @@
     };
     if (state_ == State::Lingering) return body_timeout(discarded_bytes_);
     const std::size_t buffered_bytes = parser_.body(stream_.input_buffer()).size();
-    if (active_upload_) return body_timeout(uploaded_bytes_ + buffered_bytes);
+    // The time during which backpressure pauses the client does not count.
+    if (upload_reader_.is_active())
+        return body_timeout(upload_reader_.received_bytes()) + upload_reader_.paused_time();
     if (head_completed_at_ != TimePoint{})
         return head_completed_at_ - state_since_ + body_timeout(buffered_bytes);
     return request_count_ == 0 || request_started_ ? head_timeout
@@ -585,8 +488,7 @@
 }
 
 void ClientConnection::close_if_stalled(TimePoint now) {
-    const bool is_sending =
-        active_upload_ && !active_upload_->is_complete() && reading_paused_at_ == TimePoint{};
+    const bool is_sending = upload_reader_.awaits_client();
     if ((state_ == State::Waiting && !is_sending) || now - state_since_ <= state_timeout()) return;
     if (is_idle()) return close_if_idle();
     const ImmediateRejection timeout_rejection{408, "the request was not received completely in time"};
@@ -599,7 +501,7 @@
     if (state_ == State::Closed) return;
     enter_state(State::Closed);
     finish_streamed_response();
-    finish_upload();
+    upload_reader_.abandon();
     release_body_memory();
     stream_.close();
     for (const auto& pending_request : pending_requests_) {
--- a/src/data_plane/proxy/client_connection.h
+++ b/src/data_plane/proxy/client_connection.h
@@ -21,6 +21,7 @@
 #include "base/net/stream.h"
 #include "data_plane/engine/engine.h"
 #include "data_plane/proxy/request_mapping.h"
+#include "data_plane/proxy/upload_reader.h"
 
 namespace shaletray {
 
@@ -73,7 +74,6 @@
     void close_if_stalled(TimePoint now);
 
 private:
-    class StreamedUpload;
     // Reading: no response is outstanding. Waiting: for the next response in order. Writing: that response.
     // Lingering: the last response was sent, and the client's remaining input is discarded.
     enum class State { Reading, Waiting, Writing, Lingering, Closed };
@@ -111,10 +111,6 @@
 
     void process_input();
     void forward_upload();
-    bool receive_upload(StreamedUpload& upload);
-    void deliver_received_body(StreamedUpload& upload);
-    void pause_client_if_behind(const StreamedUpload& upload);
-    void finish_upload();
     void drop_rest_of_message(PendingRequest& request);
     void reject_upload(const ImmediateRejection& rejection);
     bool can_read() const;
@@ -147,6 +143,7 @@
     // rest is streamed.
     static constexpr std::size_t kUploadStreamingThreshold = 64 * 1024;
     http::Parser parser_;
+    UploadReader upload_reader_;
     State state_ = State::Reading;
     std::vector<std::unique_ptr<PendingRequest>> pending_requests_;    // in request order
     std::unique_ptr<DeferredRequest> deferred_request_;
@@ -155,10 +152,7 @@
     std::pair<EvictionClass, TimePoint> eviction_position_{EvictionClass::NotEvictable, {}};
     std::size_t reserved_body_bytes_ =
         0;    // part of context_.buffered_body_bytes, for the message being read
-    std::shared_ptr<StreamedUpload> active_upload_;    // of the request that is being streamed
-    std::size_t uploaded_bytes_ = 0;                   // bytes of it passed to the sink
-    TimePoint reading_paused_at_{};                    // since when backpressure has paused its client
-    std::shared_ptr<BodyStream> response_stream_;      // of the response that is being streamed
+    std::shared_ptr<BodyStream> response_stream_;    // of the response that is being streamed
     BodyFraming response_framing_ = BodyFraming::ContentLength;
     bool keep_alive_ = true;    // after the response that is being written
     bool continue_sent_ = false, is_processing_ = false, is_writing_ = false;
