Count the first part of a streamed body towards the limit of its size

Callers saw: a body in chunks could exceed max_body_bytes by the part that was submitted with its request, 64 KiB and more, without 413. Cause: the limit was compared with the bytes that came after that part. Change: the reader of an upload knows the size of the first part.

--- a/src/data_plane/proxy/upload_reader.cpp
+++ b/src/data_plane/proxy/upload_reader.cpp
@@ -62,9 +62,10 @@
     http::Buffer& input = stream_.input_buffer();
     const std::string_view initial_body = parser_.body(input);
     upload_ = std::make_shared<StreamedUpload>(*this, initial_body, parser_.content_length(), clock_.now());
+    initial_bytes_ = initial_body.size();
     delivered_bytes_ = 0;
     paused_time_ = Duration(0);
-    parser_.consume_body(input, initial_body.size());
+    parser_.consume_body(input, initial_bytes_);
     return upload_;
 }
 
@@ -87,7 +88,7 @@
     const std::size_t buffered_before = parser_.body(input).size();
     if (!parser_.is_complete() && parser_.parse(input) == http::ParseStatus::Malformed)
         return Progress::Malformed;
-    if (received_bytes() > parser_.limits().max_body_size) return Progress::TooLong;
+    if (initial_bytes_ + received_bytes() > parser_.limits().max_body_size) return Progress::TooLong;
     const bool has_progressed =
         parser_.is_complete() ? !upload.is_complete() : parser_.body(input).size() > buffered_before;
     if (has_progressed) upload.on_received(clock_.now(), parser_.is_complete());
--- a/src/data_plane/proxy/upload_reader.h
+++ b/src/data_plane/proxy/upload_reader.h
@@ -68,6 +68,7 @@
     const Clock& clock_;
     std::function<void()> on_server_ready_;
     std::shared_ptr<StreamedUpload> upload_;    // null: no upload is active
+    std::size_t initial_bytes_ = 0;             // of the initial body
     std::size_t delivered_bytes_ = 0;           // handed over since
     TimePoint paused_at_{};                     // TimePoint{}: the client is not paused
     Duration paused_time_{0};
--- a/tests/data_plane/proxy/early_response_test.cpp
+++ b/tests/data_plane/proxy/early_response_test.cpp
@@ -258,3 +258,29 @@
         environment.expect_next_request_served(3, 3);
     }
 }
+
+// The part of a body that was submitted with its request counts towards the limit, too: without it a body in
+// chunks could be longer than allowed by that part.
+Test(early_responses, upload_in_chunks_that_exceeds_the_limit_is_rejected) {
+    const std::size_t limit = TestRequestMapping().parser_limits().max_body_size;
+    for (const std::size_t excess : {std::size_t{0}, std::size_t{1}}) {
+        UploadEnvironment uploads;
+        uploads.submit_upload(Framing::Chunked, 1, limit);
+        TestSink sink;
+        uploads.upload(0).start(sink);
+        for (std::size_t sent = kFirstPartSize; sent < limit + excess;) {
+            const std::size_t size = std::min(kRestSize, limit + excess - sent);
+            uploads.send_text(body_part(Framing::Chunked, size));
+            sent += size;
+            uploads.run_until([] { return true; });
+        }
+        uploads.send_text(body_end(Framing::Chunked));
+        if (excess == 0) {
+            uploads.run_until([&] { return sink.ended; });
+            continue;
+        }
+        uploads.run_until([&] { return uploads.connection_ended; });
+        cr_assert(uploads.received.starts_with("HTTP/1.1 413 ") && uploads.cancelled_count == 1 &&
+                  !sink.ended);
+    }
+}
