--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 SYSTEM_PACKAGES = ninja-build libgflags-dev libboost1.81-dev libboost-log1.81-dev libboost-json1.81-dev \
   libboost-program-options1.81-dev libcapnp-dev capnproto pkgconf libleveldb-dev
 # For the tests, the simulator and its reports, and the linters.
-MORE_PACKAGES = libgtest-dev libcriterion-dev gnuplot-nox clang-format clang-tidy shellcheck cmake-format
+MORE_PACKAGES = libgtest-dev libcriterion-dev librapidcheck-dev gnuplot-nox clang-format clang-tidy shellcheck cmake-format
 
 .PHONY: deps experiment mutations build test test-plain test-sanitize soak lint lint-format lint-shell lint-cmake \
   lint-includes lint-nolint lint-mutations lint-tidy check-packages format run run-balancer serve example clean
--- a/tests/data_plane/proxy/client_connection_fixture.h
+++ b/tests/data_plane/proxy/client_connection_fixture.h
@@ -33,7 +33,7 @@
         mapped_request.incoming.payload.head = mapped_request.request_id;
         return mapped_request;
     }
-    http::Limits parser_limits() const override { return {.max_body_size = 1024 * 1024}; }
+    http::Limits parser_limits() const override { return {.max_body_size = 4 * 1024 * 1024}; }
     Duration header_timeout() const override { return 10s; }
     Duration idle_timeout(std::uint64_t) const override { return 10s; }
     GatewayAnswer rejection_answer(RejectionReason reason, Duration) const override {
@@ -45,6 +45,33 @@
     std::string_view keep_alive_headers() const override { return "Keep-Alive: timeout=9\r\n"; }
 };
 
+// The ways in which a request is answered, as the engine reports them.
+enum class Answer { OverQuota, NoCapacity, DeadlineExceeded, UpstreamFailed, ServerError, ServerResult };
+struct AnswerKind {
+    Answer answer;
+    int status;
+};
+constexpr AnswerKind kAnswerKinds[] = {{Answer::OverQuota, 429},        {Answer::NoCapacity, 503},
+                                       {Answer::DeadlineExceeded, 504}, {Answer::UpstreamFailed, 502},
+                                       {Answer::ServerError, 500},      {Answer::ServerResult, 403}};
+
+inline void deliver(DownstreamConnection& downstream, Answer answer) {
+    Payload response;
+    response.body = "why";
+    switch (answer) {
+        case Answer::OverQuota: return downstream.on_rejected(10ms, RejectionReason::Quota);
+        case Answer::NoCapacity: return downstream.on_rejected(10ms, RejectionReason::Capacity);
+        case Answer::DeadlineExceeded: return downstream.on_failed(FailureReason::DeadlineExceeded, {});
+        case Answer::UpstreamFailed: return downstream.on_failed(FailureReason::UpstreamFailed, {});
+        case Answer::ServerError:
+            response.status_code = 500;
+            return downstream.on_failed(FailureReason::UpstreamFailed, std::move(response));
+        case Answer::ServerResult:
+            response.status_code = 403;
+            return downstream.on_answer(std::move(response));
+    }
+}
+
 // A streamed response whose end the test controls.
 struct TestBodyStream : BodyStream {
     BodySink* sink = nullptr;
--- a/tests/data_plane/proxy/early_response_test.cpp
+++ b/tests/data_plane/proxy/early_response_test.cpp
@@ -30,33 +30,6 @@
 
 std::string body_end(Framing framing) { return framing == Framing::Chunked ? "0\r\n\r\n" : ""; }
 
-// The ways in which a request is answered, as the engine reports them.
-enum class Answer { OverQuota, NoCapacity, DeadlineExceeded, UpstreamFailed, ServerError, ServerResult };
-struct AnswerKind {
-    Answer answer;
-    int status;
-};
-constexpr AnswerKind kAnswerKinds[] = {{Answer::OverQuota, 429},        {Answer::NoCapacity, 503},
-                                       {Answer::DeadlineExceeded, 504}, {Answer::UpstreamFailed, 502},
-                                       {Answer::ServerError, 500},      {Answer::ServerResult, 403}};
-
-void deliver(DownstreamConnection& downstream, Answer answer) {
-    Payload response;
-    response.body = "why";
-    switch (answer) {
-        case Answer::OverQuota: return downstream.on_rejected(10ms, RejectionReason::Quota);
-        case Answer::NoCapacity: return downstream.on_rejected(10ms, RejectionReason::Capacity);
-        case Answer::DeadlineExceeded: return downstream.on_failed(FailureReason::DeadlineExceeded, {});
-        case Answer::UpstreamFailed: return downstream.on_failed(FailureReason::UpstreamFailed, {});
-        case Answer::ServerError:
-            response.status_code = 500;
-            return downstream.on_failed(FailureReason::UpstreamFailed, std::move(response));
-        case Answer::ServerResult:
-            response.status_code = 403;
-            return downstream.on_answer(std::move(response));
-    }
-}
-
 // A server's connection: takes the body until it is paused, and may end its request at a chunk, as it does
 // where writing the chunk fails.
 struct TestSink : BodySink {
