--- a/testbed/soak/soak.cpp
+++ b/testbed/soak/soak.cpp
@@ -184,6 +184,11 @@
     expectations.expect(
         shards.double_owners == 0,
         fmt::format("{} requests began on a key that two servers held", shards.double_owners));
+    // Sums of totals only: a gateway that submits a message twice has more submissions than heads.
+    const double heads_read = metric_total(metrics, "gateway_request_heads_read_total");
+    const double submitted = metric_total(metrics, "gateway_requests_submitted_total");
+    expectations.expect(submitted <= heads_read,
+                        fmt::format("{} requests were submitted, and {} heads read", submitted, heads_read));
     const std::string underserved_route = worst_route(plan, statistics, kMinRouteShare);
     expectations.expect(underserved_route.empty(), underserved_route);
     expectations.expect_rules_kept(to_json(fixture.violations()));
@@ -222,6 +227,12 @@
         ->check(CLI::Range(0.1, 100.0));
     app.add_option("--quota-slack", options.quota_slack, "units on top of each quota")
         ->check(CLI::Range(0.0, 1000.0));
+    app.add_option("--uploads", options.uploads_per_gateway,
+                   "requests with bodies of 70 KB to 1.5 MB, a second for each gateway, beside a tenant past "
+                   "its quota")
+        ->check(CLI::Range(0.0, 20.0));
+    app.add_option("--memory-mb", options.memory_mb, "limits.memory_mb of the system's programs")
+        ->check(CLI::Range(1.0, 4096.0));
     app.add_option("--log-level", options.log_level, "log level of the system's programs")
         ->check(CLI::IsMember({"error", "warning", "info", "debug"}));
     app.add_flag("--quiet", options.quiet, "no signals, restarts and changes");
--- a/testbed/soak/soak_checks.cpp
+++ b/testbed/soak/soak_checks.cpp
@@ -117,4 +117,8 @@
     return result;
 }
 
+double metric_total(const nlohmann::json& sums, const std::string& name) {
+    return sums.contains(name) ? sums[name]["total"].get<double>() : 0.0;
+}
+
 }    // namespace shaletray::testbed
--- a/testbed/soak/soak_checks.h
+++ b/testbed/soak/soak_checks.h
@@ -35,4 +35,7 @@
 // zero. Metrics by tenant are summed over all tenants.
 nlohmann::json sum_metrics(const std::map<std::string, std::string>& text_by_gateway);
 
+// The sum of one metric in a result of sum_metrics; 0 where no gateway has it.
+double metric_total(const nlohmann::json& sums, const std::string& name);
+
 }    // namespace shaletray::testbed
--- a/testbed/soak/soak_plan.cpp
+++ b/testbed/soak/soak_plan.cpp
@@ -21,14 +21,23 @@
 // They may not vote, and redirect the calls of operators and servers.
 constexpr int kControllersWithoutDisk = 2;
 constexpr std::size_t kBodySize = 200;    // bytes, of non-idempotent requests
+// Long bodies, from those that a gateway can read ahead to those that fill all buffers on the way.
+constexpr std::size_t kMinUploadSize = 70'000, kMaxUploadSize = 1'500'000;    // bytes
+constexpr double kEarlyAnswerShare = 0.15;                                    // of uploads, by their servers
+// One tenant sends far more than its quota while there are uploads: parts of the load and of what it sends.
+constexpr double kGreedyWeight = 0.25, kGreedyQuotaShare = 0.4;
 // Interval and first start of the series of events, in seconds, and the maximum number of events in a series.
 constexpr double kSeriesInterval = 4.0, kFirstSeriesStart = 2.0;
 constexpr int kMaxSeriesLength = 6;
 // Seconds without new events at the end, within which a correct system serves all requests again.
 constexpr double kQuietEndTime = 8.0;
 
+double total_request_rate(const SoakOptions& options) {
+    return (options.requests_per_gateway + options.uploads_per_gateway) * options.gateways;
+}
+
 void add_tenants(const SoakOptions& options, SystemPlan& plan) {
-    const double total_rate = options.requests_per_gateway * options.gateways;
+    const double total_rate = total_request_rate(options);
     double total_weight = 0.0;
     for (int t = 0; t < options.tenants; ++t) total_weight += std::pow(t + 1, -kTenantSizeExponent);
     for (int t = 0; t < options.tenants; ++t) {
@@ -37,6 +46,12 @@
         plan.tenants.push_back({fmt::format("tenant{}", t), fmt::format("key{}x{:x}", t, options.seed + 4711),
                                 weight, quota, quota, 1});
     }
+    if (options.uploads_per_gateway > 0.0) {
+        const double weight = total_weight * kGreedyWeight / (1.0 - kGreedyWeight);
+        const double quota = total_rate * kGreedyWeight * kGreedyQuotaShare;
+        plan.tenants.push_back(
+            {"greedy", fmt::format("keyg{:x}", options.seed + 4711), weight, quota, quota, 1});
+    }
     plan.tenants.push_back({"operators", fmt::format("keyx{:x}", options.seed + 4711), 0.0, 1.0, 1.0, 1});
 }
 
@@ -46,8 +61,7 @@
         plan.callers.push_back({tenant, kZones[random() % kZones.size()], draw(random)});
     };
     std::vector<double> weights;
-    for (int t = 0; t < options.tenants; ++t) {
-        const auto tenant = static_cast<std::size_t>(t);
+    for (std::size_t tenant = 0; tenant + 1 < plan.tenants.size(); ++tenant) {    // not the operators
         weights.push_back(plan.tenants[tenant].weight);
         for (int i = 0; i < kMinCallersPerTenant; ++i) add_caller(tenant);
     }
@@ -77,6 +91,7 @@
     plan.seed = options.seed;
     plan.new_connection_fraction = 0.0;
     plan.log_level = options.log_level;
+    plan.extra_settings["limits.memory_mb"] = fmt::format("{}", options.memory_mb);
     plan.extra_settings["bounds.quota_slack"] = fmt::format("{}", options.quota_slack);
     for (int m = 0; m < options.gateways; ++m) {
         const bool has_disk = m < options.controllers;
@@ -99,6 +114,13 @@
                    make_route("book", "ledgers", false, total_rate * 0.1, 500ms, 1200ms, kBodySize),
                    make_route("trade", "trades", false, total_rate * 0.25, 600ms, 1500ms, kBodySize),
                    make_route("save", "trades", false, total_rate * 0.15, 300ms, 800ms, kBodySize)};
+    if (options.uploads_per_gateway > 0.0) {
+        const double rate = options.uploads_per_gateway * options.gateways;
+        plan.services.push_back({"archives", kMinServersPerService, 6, 1900, 60ms, false, kEarlyAnswerShare});
+        RoutePlan upload = make_route("upload", "archives", false, rate, 1000ms, 2500ms, kMinUploadSize);
+        upload.max_body_size = kMaxUploadSize;
+        plan.routes.push_back(upload);
+    }
     std::mt19937_64 random(options.seed);
     add_tenants(options, plan);
     add_callers(options, random, plan);
--- a/testbed/soak/soak_plan.h
+++ b/testbed/soak/soak_plan.h
@@ -20,6 +20,8 @@
     double requests_per_gateway = 3.0;    // a second
     double quota_headroom = 1.6;          // a tenant's rate, divided by what its callers send
     double quota_slack = 20.0;            // units; see bounds.quota_slack
+    double uploads_per_gateway = 0.0;     // requests with long bodies, a second
+    double memory_mb = 260.0;             // limits.memory_mb of the system's programs
     bool quiet = false;                   // no signals, restarts or configuration changes
     std::string log_level = "info";       // of the system's programs
 };
--- a/testbed/system/clients.cpp
+++ b/testbed/system/clients.cpp
@@ -123,6 +123,7 @@
     void on_connected() override { owner_.reactor_.cancel_timer(connect_timer); }
     void on_input() override {
         const http::ParseStatus status = parser.parse(stream.input_buffer());
+        if (request == nullptr) owner_.scoreboard_.record_surplus_response();
         if (status == http::ParseStatus::Malformed || request == nullptr)
             return owner_.on_disconnected(*this);
         if (status == http::ParseStatus::Complete) owner_.on_response(*this);
@@ -206,7 +207,7 @@
         request.route = route_index;
         draw_sender(request);
         request.target = fmt::format("{}{:x}?n={}", route.prefix, random_() % 100000, ++last_request_number_);
-        request.body.assign(route.body_size, static_cast<char>('A' + random_() % 26));
+        request.body = draw_body(route);
         request.due_at = reactor_.clock().now();
         request.deadline = request.due_at + route.deadline;
         request.second_index = static_cast<std::size_t>(secs(request.due_at - started_at_));
@@ -223,6 +224,19 @@
     });
 }
 
+// Bodies of varying size are long ones, half of them within a factor of two of the shortest. No part of one
+// looks like another part.
+std::string Clients::draw_body(const RoutePlan& route) {
+    std::string body(route.body_size, static_cast<char>('A' + random_() % 26));
+    if (route.max_body_size <= route.body_size) return body;
+    const double draw = std::uniform_real_distribution<double>()(random_);
+    const double ratio = static_cast<double>(route.max_body_size) / static_cast<double>(route.body_size);
+    body.resize(
+        static_cast<std::size_t>(static_cast<double>(route.body_size) * std::pow(ratio, draw * draw)));
+    for (std::size_t i = 0; i < body.size(); i += 64) body[i] = static_cast<char>('a' + random_() % 26);
+    return body;
+}
+
 // Draws a tenant by weight, then one of its callers if it has any.
 void Clients::draw_sender(PendingRequest& request) {
     request.tenant = tenant_distribution_(random_);
--- a/testbed/system/clients.h
+++ b/testbed/system/clients.h
@@ -63,7 +63,8 @@
     double rate = 10.0;                              // requests per second
     Duration service_time{0}, latency_target{0}, deadline{0}, attempt_timeout{0};
     int priority = 1, max_attempts = 2;
-    std::size_t body_size = 0;    // of its requests, in bytes
+    std::size_t body_size = 0;        // of its requests, in bytes
+    std::size_t max_body_size = 0;    // 0: all have body_size; otherwise from body_size to this
 };
 // A tenant with its share of the load and its quota.
 struct TenantPlan {
@@ -141,6 +142,7 @@
     void on_request_due(std::size_t route);
     void send_attempt(PendingRequest& request, bool new_connection);
     void draw_sender(PendingRequest& request);
+    std::string draw_body(const RoutePlan& route);
     Connection* find_idle_connection(const PendingRequest& request);
     Connection* open_connection(PendingRequest& request);
     void write_request(PendingRequest& request, Connection& connection);
--- a/testbed/system/fixture.cpp
+++ b/testbed/system/fixture.cpp
@@ -80,6 +80,7 @@
         plan.seed = plan_.seed * 1000 + number;
         plan.speed = 0.8 + 0.1 * static_cast<double>(number % 5);
         plan.control_addresses = control_addresses();
+        plan.early_answer_share = service_plan->early_answer_share;
         if (service_plan->is_sharded) plan.shard_checker = &shard_checker_;
         servers_.push_back(std::make_unique<ApplicationServer>(reactor_, calls_, scoreboard_, plan));
         return number;
--- a/testbed/system/fixture.h
+++ b/testbed/system/fixture.h
@@ -32,7 +32,8 @@
     int server_count = 4, concurrency_limit = 6;
     std::size_t max_connections = 130;
     Duration mean_service_time{0};
-    bool is_sharded = false;    // its servers execute only requests whose keys they hold
+    bool is_sharded = false;            // its servers execute only requests whose keys they hold
+    double early_answer_share = 0.0;    // see ServerPlan
 };
 // Everything that a fixture starts with.
 struct SystemPlan {
--- a/testbed/system/scoreboard.cpp
+++ b/testbed/system/scoreboard.cpp
@@ -1,11 +1,16 @@
 #include "system/scoreboard.h"
 
 #include <functional>
+#include <utility>
 
 namespace shaletray::testbed {
 
 void Scoreboard::record_sent(const std::string& id, Attempt attempt) {
-    attempts_[id].attempt = std::move(attempt);
+    AttemptRecord& record = attempts_[id];
+    record.attempt = std::move(attempt);
+    const std::string body = std::exchange(record.attempt.body, {});
+    record.body_size = body.size();
+    record.body_hash = std::hash<std::string_view>()(body);
 }
 
 bool Scoreboard::record_received(const std::string& id, int status, std::string_view seal,
@@ -35,7 +40,9 @@
     ++record.execution_count;
     if (on_execution_) on_execution_(std::string(tenant));
     const Attempt& sent = record.attempt;
-    if (sent.method != method || sent.target != target || sent.body != body) ++violations_.unknown_requests;
+    const bool has_same_body =
+        record.body_size == body.size() && record.body_hash == std::hash<std::string_view>()(body);
+    if (sent.method != method || sent.target != target || !has_same_body) ++violations_.unknown_requests;
     if (sent.tenant != tenant) ++violations_.wrong_tenant;
     const auto substitutes = substitute_services_.find(sent.service);
     if (sent.service != service &&
@@ -71,6 +78,7 @@
             {"wrong_service", violations.wrong_service},
             {"wrong_tenant", violations.wrong_tenant},
             {"mixed", violations.mismatched_responses},
+            {"surplus", violations.surplus_responses},
             {"denied", violations.denied_requests}};
 }
 
--- a/testbed/system/scoreboard.h
+++ b/testbed/system/scoreboard.h
@@ -33,10 +33,11 @@
         std::uint64_t wrong_service = 0;           // executions by another service
         std::uint64_t wrong_tenant = 0;            // executions for another tenant
         std::uint64_t mismatched_responses = 0;    // responses that differ from the server's
+        std::uint64_t surplus_responses = 0;       // responses on connections where no request waits for one
         std::uint64_t denied_requests = 0;         // valid requests that got a 4xx from the system itself
         std::uint64_t total() const {
             return repeated_executions + executed_after_rejection + unknown_requests + wrong_service +
-                   wrong_tenant + mismatched_responses + denied_requests;
+                   wrong_tenant + mismatched_responses + surplus_responses + denied_requests;
         }
     };
 
@@ -53,6 +54,9 @@
     // Called by clients, for each complete response. True if it is a valid success.
     bool record_received(const std::string& id, int status, std::string_view seal, std::string_view body);
 
+    // Called by clients, for bytes on a connection where no request waits for a response.
+    void record_surplus_response() { ++violations_.surplus_responses; }
+
     // Called by servers when an attempt arrives, is executed and is answered.
     void record_arrival(const std::string& id) { ++arrivals_[id]; }
     void record_execution(const std::string& id, const std::string& service, std::string_view tenant,
@@ -67,7 +71,8 @@
 
 private:
     struct AttemptRecord {
-        Attempt attempt;
+        Attempt attempt;    // without its body
+        std::size_t body_size = 0, body_hash = 0;
         std::uint32_t execution_count = 0;
         bool is_rejected = false;
         std::map<std::string, std::size_t> seals;    // with the hash of each response's body
--- a/testbed/system/server.cpp
+++ b/testbed/system/server.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "simulator/measure.h"
+#include "system/early_answers.h"
 
 namespace shaletray::testbed {
 namespace {
@@ -45,6 +46,7 @@
     State state = State::Idle;
     std::string request_id;
     bool is_health_check = false, closes_early = false, is_closing = false;
+    bool early_answer_drawn = false, was_answered_early = false;    // of the request that is being read
     std::optional<std::size_t> shard_key;
     TimePoint deadline{}, last_used_at{};
     Timers::Id work_timer = 0;
@@ -223,7 +225,37 @@
         return;
     const http::ParseStatus status = connection.parser.parse(connection.stream.input_buffer());
     if (status == http::ParseStatus::Malformed) return remove_connection(connection);
-    if (status == http::ParseStatus::Complete) process_input(connection);
+    if (status == http::ParseStatus::Incomplete) return answer_early(connection);
+    if (!connection.was_answered_early) return process_input(connection);
+    prepare_next_request(connection);
+    read_request(connection);
+}
+
+// Draws once for each long request whether it is answered before it has been read.
+void ApplicationServer::answer_early(Connection& connection) {
+    const http::Buffer& in = connection.stream.input_buffer();
+    if (plan_.early_answer_share <= 0.0 || connection.early_answer_drawn ||
+        !connection.parser.head_complete() || in.size() < kEarlyAnswerSize)
+        return;
+    connection.early_answer_drawn = true;
+    const EarlyAnswer answer = draw_early_answer(random_, plan_.early_answer_share);
+    if (answer == EarlyAnswer::None) return;
+    connection.was_answered_early = true;
+    connection.request_id = connection.parser.header(in, "X-Attempt-Id");
+    scoreboard_.record_arrival(connection.request_id);
+    connection.stream.set_reading(false);
+    connection.work_timer = reactor_.schedule_after(draw_reading_pause(random_), [&connection] {
+        connection.work_timer = 0;
+        connection.stream.set_reading(true);
+    });
+    const std::string text = write_early_answer(answer, connection.request_id);
+    if (!text.empty() && !connection.stream.write_bytes(text)) remove_connection(connection);
+}
+
+void ApplicationServer::prepare_next_request(Connection& connection) {
+    connection.stream.input_buffer().consume(connection.parser.message_size());
+    connection.parser.reset();
+    connection.early_answer_drawn = connection.was_answered_early = false;
 }
 
 void ApplicationServer::process_input(Connection& connection) {
@@ -341,8 +373,7 @@
                                       const std::string& body) {
     const bool closes_connection =
         is_draining_ || !connection.parser.keep_alive() || random_() % kResponsesPerClose == 0;
-    connection.stream.input_buffer().consume(connection.parser.message_size());
-    connection.parser.reset();
+    prepare_next_request(connection);
     const std::string out =
         fmt::format("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n{}{}\r\n{}", status, status == 200 ? "OK" : "No",
                     body.size(), headers,
--- a/testbed/system/server.h
+++ b/testbed/system/server.h
@@ -31,6 +31,7 @@
     Duration drain_time{2'000'000};                // time of serving after the drain was acknowledged
     std::vector<std::string> control_addresses;    // where heartbeats go
     std::uint64_t seed = 1;
+    double early_answer_share = 0.0;                   // of long requests; see early_answers.h
     ShardOwnershipChecker* shard_checker = nullptr;    // for sharded services; null: executes any request
 };
 
@@ -60,6 +61,8 @@
     class Connection;
     void accept_connection(const Poco::Net::StreamSocket& socket);
     void read_request(Connection& connection);
+    void answer_early(Connection& connection);
+    void prepare_next_request(Connection& connection);
     void process_input(Connection& connection);
     void start_request(Connection& connection);
     void finish_request(Connection& connection);
--- a/tools/ci/run_soak.sh
+++ b/tools/ci/run_soak.sh
@@ -18,8 +18,10 @@
 
 status=0
 for seed in "$@"; do
-  # Small quotas, so that a gateway's part of them is small, as it is on hundreds of gateways.
-  "$build/soak" --seed "$seed" --gateways 24 --controllers 3 --tenants 40 --quota-slack 2 --seconds 30 || status=$?
+  # Small quotas, so that a gateway's part of them is small, as it is on hundreds of gateways; and so little memory
+  # that gateways stream long bodies.
+  "$build/soak" --seed "$seed" --gateways 24 --controllers 3 --tenants 40 --quota-slack 2 --seconds 30 \
+    --uploads 0.5 --memory-mb 1 || status=$?
 done
 if is_soak_known_red; then
   known_red_lines | grep '^soak:' | sed 's/^/KNOWN-RED: /'
