--- a/testbed/system/server.cpp
+++ b/testbed/system/server.cpp
@@ -21,9 +21,8 @@
 constexpr Duration kUnacknowledgedTimeout = 6s;    // the server ends after this without an acknowledgement
 constexpr Duration kReleasingInterval = 100ms;     // between heartbeats while keys are being released
 constexpr int kMaxClockLagThousandths = 20;        // a server's clock is slow by up to this share
-constexpr double kColdShardSpeed = 0.5;
+constexpr double kColdShardSpeed = 0.5, kSlowStartSpeed = 0.4;
 constexpr Duration kDrainMargin = 300ms;    // beyond `drain_time`
-constexpr double kSlowStartSpeed = 0.4;
 constexpr int kResponsesPerClose = 200;
 constexpr std::size_t kMinBodySize = 100, kMaxBodySize = 3000, kMaxAcknowledgementSize = 4096;
 
@@ -46,7 +45,7 @@
     State state = State::Idle;
     std::string request_id;
     bool is_health_check = false, closes_early = false, is_closing = false;
-    bool early_answer_drawn = false, was_answered_early = false;    // of the request that is being read
+    std::optional<EarlyAnswer> early_answer;    // to the request that is being read; drawn once
     std::optional<std::size_t> shard_key;
     TimePoint deadline{}, last_used_at{};
     Timers::Id work_timer = 0;
@@ -80,8 +79,6 @@
     reactor_.destroy_retired();
 }
 
-void ApplicationServer::crash_now() { stop_server(); }
-
 void ApplicationServer::stop_server() {
     if (std::exchange(is_ended_, true)) return;
     if (shard_holds_) plan_.shard_checker->remove_server(plan_.service, id_);
@@ -226,7 +223,8 @@
     const http::ParseStatus status = connection.parser.parse(connection.stream.input_buffer());
     if (status == http::ParseStatus::Malformed) return remove_connection(connection);
     if (status == http::ParseStatus::Incomplete) return answer_early(connection);
-    if (!connection.was_answered_early) return process_input(connection);
+    if (connection.early_answer.value_or(EarlyAnswer::None) == EarlyAnswer::None)
+        return process_input(connection);
     prepare_next_request(connection);
     read_request(connection);
 }
@@ -234,13 +232,9 @@
 // Draws once for each long request whether it is answered before it has been read.
 void ApplicationServer::answer_early(Connection& connection) {
     const http::Buffer& in = connection.stream.input_buffer();
-    if (plan_.early_answer_share <= 0.0 || connection.early_answer_drawn ||
-        !connection.parser.head_complete() || in.size() < kEarlyAnswerSize)
-        return;
-    connection.early_answer_drawn = true;
-    const EarlyAnswer answer = draw_early_answer(random_, plan_.early_answer_share);
-    if (answer == EarlyAnswer::None) return;
-    connection.was_answered_early = true;
+    if (connection.early_answer || !connection.parser.head_complete() || in.size() < kEarlyAnswerSize) return;
+    connection.early_answer = draw_early_answer(random_, plan_.early_answer_share);
+    if (connection.early_answer == EarlyAnswer::None) return;
     connection.request_id = connection.parser.header(in, "X-Attempt-Id");
     scoreboard_.record_arrival(connection.request_id);
     connection.stream.set_reading(false);
@@ -248,14 +242,14 @@
         connection.work_timer = 0;
         connection.stream.set_reading(true);
     });
-    const std::string text = write_early_answer(answer, connection.request_id);
-    if (!text.empty() && !connection.stream.write_bytes(text)) remove_connection(connection);
+    if (!connection.stream.write_bytes(write_early_answer(*connection.early_answer, connection.request_id)))
+        remove_connection(connection);
 }
 
 void ApplicationServer::prepare_next_request(Connection& connection) {
     connection.stream.input_buffer().consume(connection.parser.message_size());
     connection.parser.reset();
-    connection.early_answer_drawn = connection.was_answered_early = false;
+    connection.early_answer.reset();
 }
 
 void ApplicationServer::process_input(Connection& connection) {
--- a/testbed/system/server.h
+++ b/testbed/system/server.h
@@ -48,7 +48,7 @@
     // Graceful shutdown: announces the drain, keeps serving for `drain_time`, deregisters and ends.
     void start_drain();
     // Ends at once without an announcement.
-    void crash_now();
+    void crash_now() { stop_server(); }
     // While frozen it accepts connections but sends no responses, like a suspended machine.
     void set_frozen(bool frozen);
     void set_speed(double speed) { plan_.speed = speed; }
