--- a/review/stage.hh
+++ b/review/stage.hh
@@ -593,6 +593,14 @@
                state + "\",\"call_count\":" + std::to_string(++call_count_) + ",\"ramp_left\":\"0ms\"}}";
     }
     void stop_beats() { beats_enabled_ = false; }
+    // What the beats say from now on.
+    void set_draining() { is_draining_ = true; }
+    // While it is cut off from the control addresses, a call meets silence for a second, and the pause before the
+    // next one grows.
+    void set_cut_from_control(bool cut) { is_cut_ = cut; }
+    // When a beat was acknowledged last.
+    double last_acknowledged() const { return acknowledged_at_; }
+    bool departure_acknowledged() const { return departure_acknowledged_; }
 
     const std::string id;
 
@@ -662,21 +670,28 @@
     void send_beats() {
         std::size_t next = std::hash<std::string>{}(id) % controls_.size();
         std::string preferred;
-        double at = now();
+        double at = now(), pause = 0.1;
         while (!is_stopping_) {
             if (is_down_ || !beats_enabled_ || now() < at) {
                 sleep_for(0.01);
                 continue;
             }
             const std::string address = preferred.empty() ? controls_[next++ % controls_.size()] : preferred;
-            const Message answer =
-                call(address, "POST", "/members/" + id + "/heartbeat", beat("in_service"), 1.0);
+            const bool says_draining = is_draining_;
+            const std::string body = beat(says_draining ? "draining" : "in_service");
+            Message answer;
+            if (is_cut_) sleep_for(1.0);
+            else answer = call(address, "POST", "/members/" + id + "/heartbeat", body, 1.0);
             const bool taken = answer.status() >= 200 && answer.status() < 300;
             preferred.clear();
             if (!taken) {
-                at = now() + 0.1;
+                at = now() + pause;
+                pause = std::min(2 * pause, 1.0);
                 continue;
             }
+            pause = 0.1;
+            if (says_draining) departure_acknowledged_ = true;
+            acknowledged_at_ = now();
             ++acknowledged_;
             const std::size_t name = answer.body.find("\"heartbeat_target\":\"");
             if (name != std::string::npos)
@@ -690,6 +705,8 @@
     std::string address_;
     int listener_ = -1;
     std::atomic<bool> is_down_ = false, is_stopping_ = false, beats_enabled_ = true;
+    std::atomic<bool> is_draining_ = false, is_cut_ = false, departure_acknowledged_ = false;
+    std::atomic<double> acknowledged_at_ = 0;
     std::atomic<int> acknowledged_ = 0, call_count_ = 0;
     std::thread acceptor_, beats_;
     std::mutex mutex_;
